--- /dev/null
+++ b/amberdeal.go
@@ -0,0 +1,303 @@
+// Package amberdeal is a cluster scheduler that programs can embed: New makes
+// a controller from its settings, Run serves until the context ends.
+//
+// Each controller answers users and workers; one of them at a time holds the
+// fleet, through a lease on the state service and a term that only rises, and
+// decides what runs where. See docs/design.md.
+package amberdeal
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amberdeal.example/amberdeal/internal/claim"
+	"amberdeal.example/amberdeal/internal/cloud"
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/internal/httpwire"
+	"amberdeal.example/amberdeal/internal/mesh"
+	"amberdeal.example/amberdeal/internal/round"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/internal/user"
+	"amberdeal.example/amberdeal/internal/worker"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Config is what a controller is told; Load reads and checks it.
+type Config = config.Config
+
+// Load reads the platform's file and, where named, the operators' INI file.
+func Load(path, settings string) (*Config, error) { return config.Load(path, settings) }
+
+// Service is one controller.
+type Service struct {
+	cfg     *Config
+	log     *slog.Logger
+	client  *store.Client
+	view    *store.View
+	follow  *store.Follower
+	cloud   *cloud.Client
+	workers *worker.Client
+	keeper  *claim.Keeper
+	mesh    *mesh.Mesh
+	desk    *user.Desk
+	changed chan struct{}
+
+	mu      sync.Mutex
+	holders map[string]*holding
+	types   []wire.MachineType
+	reports map[string]time.Time // machines that reported here, by the time of the last
+}
+
+// holding is a part that this controller holds, and the end of its duties.
+type holding struct {
+	*round.Holder
+	claim claim.Held
+	stop  context.CancelFunc
+	done  chan struct{}
+}
+
+// New makes a controller; it opens nothing yet.
+func New(cfg *Config, log *slog.Logger) *Service {
+	shares := len(cfg.Siblings) + 1
+	s := &Service{cfg: cfg, log: log, changed: make(chan struct{}, 1),
+		holders: make(map[string]*holding), reports: make(map[string]time.Time)}
+	s.client = store.NewClient(cfg.StoreAddr, cfg.Store.RPS, cfg.Store.WriteRPS, shares, log)
+	s.view = store.NewView(log)
+	s.follow = store.NewFollower(s.client, s.view, log)
+	s.cloud = cloud.New(cfg.CloudAddr, cfg.Cloud.RPS/2)
+	s.workers = worker.NewClient()
+	s.keeper = &claim.Keeper{
+		Claim: claim.New(cfg.Name, cfg.Tuning.Lease, cfg.Tuning.Renew),
+		Parts: fleet.Parts(), Client: s.client, View: s.view, Follow: s.follow, Log: log,
+		Ready: func() bool { return s.machineTypes() != nil }, Changed: s.wake,
+	}
+	s.mesh = &mesh.Mesh{Siblings: make(map[string]string), Beat: s.beat, Log: log}
+	for _, sib := range cfg.Siblings {
+		s.mesh.Siblings[sib.Name] = sib.Addr
+	}
+	s.desk = &user.Desk{Teams: cfg.Teams, Client: s.client, View: s.view, Follow: s.follow, Log: log,
+		Types: s.machineTypes, Count: s.count, Ready: s.ready, Accepted: s.wake}
+	return s
+}
+
+// Run serves until the context ends.
+func (s *Service) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	answer := worker.Handler(s.report, s.log)
+	public := &transport.Server{Addr: s.cfg.PublicAddr, MaxConns: s.cfg.Limits.Files * 3 / 4, Log: s.log,
+		Serve: transport.HTTP(wire.MaxBody, 90*time.Second, func(ctx context.Context, r *httpwire.Request) *httpwire.Response {
+			if r.Path == wire.PathReport {
+				return answer(ctx, r)
+			}
+			return s.desk.Handle(ctx, r)
+		})}
+	peers := &transport.Server{Addr: s.cfg.MeshAddr, MaxConns: 64, Log: s.log, Serve: s.mesh.Receive}
+	g.Go(func() error { return public.Run(ctx) })
+	g.Go(func() error { return peers.Run(ctx) })
+	g.Go(func() error { return s.follow.Run(ctx) })
+	g.Go(func() error { return s.follow.RunBarriers(ctx) })
+	g.Go(func() error { return s.keeper.Run(ctx) })
+	g.Go(func() error { return s.learnTypes(ctx) })
+	g.Go(func() error { return s.manage(ctx) })
+	for _, sib := range s.cfg.Siblings {
+		g.Go(func() error { return s.mesh.Send(ctx, sib.Addr) })
+	}
+	s.log.Info("serving", "name", s.cfg.Name, "zone", s.cfg.Zone, "public", s.cfg.PublicAddr, "mesh", s.cfg.MeshAddr)
+	return g.Wait()
+}
+
+func (s *Service) wake() {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// manage starts a holder for each part that was won and ends it when the
+// claim is lost.
+func (s *Service) manage(ctx context.Context) error {
+	defer s.endAll()
+	for ctx.Err() == nil {
+		for _, part := range fleet.Parts() {
+			s.managePart(ctx, part)
+		}
+		t := time.NewTimer(time.Second)
+		select {
+		case <-ctx.Done():
+		case <-s.changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func (s *Service) managePart(ctx context.Context, part string) {
+	held, isHeld, _, _ := s.keeper.Held(part, time.Now())
+	s.mu.Lock()
+	h := s.holders[part]
+	s.mu.Unlock()
+	if h != nil && (!isHeld || h.claim.Version != held.Version) {
+		s.log.Warn("part lost", "part", part, "term", h.claim.Term)
+		s.end(part, h)
+		h = nil
+	}
+	if h != nil {
+		h.Kick()
+		return
+	}
+	if !isHeld || s.view.Revision() < held.Revision && s.follow.Barrier(ctx) != nil {
+		return
+	}
+	lookup := func(job string) (store.JobRecord, bool) {
+		rec, _, _, known := s.view.Job(job)
+		return rec, known
+	}
+	now := time.Now()
+	h = &holding{claim: held, done: make(chan struct{}),
+		Holder: round.New(s.cfg, held, s.view.Snapshot(), s.view.Round(part), s.machineTypes(), lookup, now, s.log)}
+	duties, stop := context.WithCancel(ctx)
+	h.stop = stop
+	s.mu.Lock()
+	s.holders[part] = h
+	s.mu.Unlock()
+	s.log.Info("holding", "part", part, "term", held.Term)
+	go func() {
+		defer close(h.done)
+		_ = h.Run(duties, round.Edges{Store: s.client, View: s.view, Follow: s.follow, Cloud: s.cloud, Workers: s.workers,
+			Valid: func() bool { _, ok, valid, _ := s.keeper.Held(part, time.Now()); return ok && valid }, Fenced: s.wake})
+	}()
+}
+
+func (s *Service) end(part string, h *holding) {
+	h.stop()
+	s.mu.Lock()
+	delete(s.holders, part)
+	s.mu.Unlock()
+	<-h.done
+}
+
+func (s *Service) endAll() {
+	for _, part := range fleet.Parts() {
+		s.mu.Lock()
+		h := s.holders[part]
+		s.mu.Unlock()
+		if h != nil {
+			s.end(part, h)
+		}
+	}
+}
+
+// report decides what becomes of a worker's report.
+func (s *Service) report(_ context.Context, r *wire.Report) worker.Verdict {
+	now := time.Now()
+	part := fleet.PartOf(r.Zone, r.Type)
+	held, isHeld, valid, confirmed := s.keeper.Held(part, now)
+	s.mu.Lock()
+	h := s.holders[part]
+	s.reports[r.Machine] = now
+	s.mu.Unlock()
+	// A holder that can't renew goes on answering, without launches, but no
+	// longer than a cancelled task may live.
+	linger := max(0, s.cfg.Workers.Cancel-s.cfg.Workers.Lease-5*time.Second)
+	if h != nil && isHeld && h.claim.Version == held.Version && r.Term <= held.Term && (valid || now.Sub(confirmed) < linger) {
+		a := h.Report(now, r, valid)
+		return worker.Verdict{Answer: &a}
+	}
+	if rec, ok := s.view.Part(part); ok && rec.Record.Holder != s.cfg.Name {
+		return worker.Verdict{Holder: rec.Record.Holder}
+	}
+	return worker.Verdict{}
+}
+
+// learnTypes reads the machine types until they are known, from the cloud or,
+// while that is out, from the store.
+func (s *Service) learnTypes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if types, err := s.cloud.Types(ctx); err == nil {
+			s.mu.Lock()
+			s.types = types
+			s.mu.Unlock()
+			s.wake()
+			store.Pause(ctx, 2*time.Minute)
+			continue
+		}
+		store.Pause(ctx, time.Second)
+	}
+	return nil
+}
+
+func (s *Service) machineTypes() []wire.MachineType {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.types == nil {
+		return s.view.Types()
+	}
+	return s.types
+}
+
+// count gives a job's counts for display, from the holder wherever it is.
+func (s *Service) count(job string) round.Count {
+	s.mu.Lock()
+	hs := make([]*holding, 0, len(s.holders))
+	for _, h := range s.holders {
+		hs = append(hs, h)
+	}
+	s.mu.Unlock()
+	for _, h := range hs {
+		if c, ok := h.Counts()[job]; ok {
+			return c
+		}
+	}
+	var best mesh.Beat
+	for _, b := range s.mesh.Last(6 * time.Second) {
+		if b.Term > best.Term {
+			best = b
+		}
+	}
+	return best.Counts[job]
+}
+
+func (s *Service) beat() mesh.Beat {
+	at, failing := s.follow.Reached()
+	b := mesh.Beat{From: s.cfg.Name, StoreOK: !failing && time.Since(at) < 15*time.Second}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, h := range s.holders {
+		b.Term, b.Counts = h.Term(), h.Counts()
+	}
+	for id, t := range s.reports {
+		switch age := time.Since(t); {
+		case age > time.Minute:
+			delete(s.reports, id)
+		case age < 2*s.cfg.Workers.Report:
+			b.Heard++
+		}
+	}
+	return b
+}
+
+// ready says whether users are served here. A controller that alone can't
+// reach the store steps aside; in an outage that all share nothing is gained
+// by it, and coming back costs time.
+func (s *Service) ready() bool {
+	if !s.view.Loaded() || s.machineTypes() == nil {
+		return false
+	}
+	at, failing := s.follow.Reached()
+	if !failing || time.Since(at) < 2*time.Second {
+		return true
+	}
+	for _, b := range s.mesh.Last(3 * time.Second) {
+		if b.StoreOK {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/cmd/amberdeal/main.go
@@ -0,0 +1,120 @@
+// Command amberdeal runs a controller of the amberdeal cluster scheduler, and
+// is a client of a running one.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"amberdeal.example/amberdeal"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a controller until it is told to end."`
+	Check   checkCmd   `cmd:"" help:"Check settings, name every fault, and open nothing."`
+	Version versionCmd `cmd:"" help:"Say which version this is."`
+	Submit  submitCmd  `cmd:"" help:"Submit a job to a running service."`
+	Status  statusCmd  `cmd:"" help:"Ask a running service about a job."`
+	Abort   abortCmd   `cmd:"" help:"Cancel a job."`
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("amberdeal"), kong.UsageOnError(),
+		kong.Description("A scheduler for clusters of rented machines: jobs in, tasks on machines out."))
+	ctx, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		parser.Errorf("%s", err)
+		fmt.Fprintln(os.Stderr, "Run amberdeal --help for what it can do.")
+		os.Exit(exitSettings)
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "amberdeal: %v\n", err)
+		if errors.As(err, new(settingsError)) {
+			os.Exit(exitSettings)
+		}
+		os.Exit(exitFailed)
+	}
+}
+
+// settingsError is a fault of the settings.
+type settingsError struct{ error }
+
+type files struct {
+	Config   string `required:"" placeholder:"FILE" help:"The platform's settings (JSON)."`
+	Settings string `placeholder:"FILE.ini" help:"The operators' own settings (INI)."`
+}
+
+func (f files) load() (*amberdeal.Config, error) {
+	cfg, err := amberdeal.Load(f.Config, f.Settings)
+	if err != nil {
+		return nil, settingsError{fmt.Errorf("settings:\n%w", err)}
+	}
+	return cfg, nil
+}
+
+type serveCmd struct{ files }
+
+// Run serves until SIGTERM or SIGINT.
+func (s serveCmd) Run() error {
+	cfg, err := s.load()
+	if err != nil {
+		return err
+	}
+	level := slog.LevelInfo
+	if text := os.Getenv("LOG_LEVEL"); text != "" {
+		if err := level.UnmarshalText([]byte(text)); err != nil {
+			return settingsError{fmt.Errorf("LOG_LEVEL: %q: must be error, warn, info or debug", text)}
+		}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	runtime.GOMAXPROCS(1) // a controller has a share of one core
+	debug.SetMemoryLimit(cfg.Limits.RAMBytes * 6 / 10)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return amberdeal.New(cfg, log).Run(ctx)
+}
+
+type checkCmd struct{ files }
+
+// Run checks the settings.
+func (c checkCmd) Run() error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("settings of %s are valid: %d siblings, %d teams, %d zones\n", cfg.Name, len(cfg.Siblings), len(cfg.Teams), len(cfg.Zones))
+	return nil
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				version += " " + s.Value
+			}
+		}
+	}
+	fmt.Println("amberdeal", version)
+	return nil
+}
--- /dev/null
+++ b/internal/claim/run.go
@@ -0,0 +1,166 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/store"
+)
+
+// Keeper runs a Claim: it renews the lease and claims every part that is free.
+type Keeper struct {
+	Claim  *Claim
+	Parts  []string
+	Client *store.Client
+	View   *store.View
+	Follow *store.Follower
+	Log    *slog.Logger
+	// Ready says whether this controller is fit to hold a part.
+	Ready func() bool
+	// Changed is called when a claim may have been won or lost.
+	Changed func()
+
+	mu sync.Mutex
+}
+
+// Held tells the claim on a part, whether its lease surely lasts, and when the
+// last renewal that succeeded was sent.
+func (k *Keeper) Held(part string, now time.Time) (h Held, held, valid bool, confirmed time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h, held = k.Claim.Held(part)
+	return h, held, k.Claim.Valid(now), k.Claim.Confirmed()
+}
+
+// Run keeps the claim until the context ends; then it ends the lease, so that
+// a sibling can take over at once.
+func (k *Keeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		k.turn(ctx)
+		k.mu.Lock()
+		wait := time.Until(k.Claim.Due())
+		k.mu.Unlock()
+		t := time.NewTimer(max(wait, 100*time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-k.View.Changed():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if lease := k.Claim.Lease(); lease != 0 {
+		return k.Client.End(end, lease)
+	}
+	return nil
+}
+
+// Resign ends the lease, because another controller can serve better.
+func (k *Keeper) Resign(ctx context.Context, why string) {
+	k.mu.Lock()
+	lease := k.Claim.Lease()
+	k.Claim.Lost()
+	k.mu.Unlock()
+	k.Log.Warn("claim given up", "lease", lease, "why", why)
+	k.Changed()
+	if lease != 0 {
+		_ = k.Client.End(ctx, lease)
+	}
+}
+
+func (k *Keeper) turn(ctx context.Context) {
+	now := time.Now()
+	k.mu.Lock()
+	lease, due, valid := k.Claim.Lease(), k.Claim.Due(), k.Claim.Valid(now)
+	k.mu.Unlock()
+	switch {
+	case lease == 0:
+		id, err := k.Client.Grant(ctx, k.Claim.TTL)
+		if err != nil {
+			store.Pause(ctx, 400*time.Millisecond)
+			return
+		}
+		k.mu.Lock()
+		k.Claim.Granted(id, now)
+		k.mu.Unlock()
+	case !now.Before(due):
+		if !k.renew(ctx, lease, now, valid) {
+			return
+		}
+	}
+	for _, part := range k.Parts {
+		k.look(ctx, part)
+	}
+}
+
+func (k *Keeper) renew(ctx context.Context, lease uint64, now time.Time, valid bool) bool {
+	err := k.Client.Renew(ctx, lease)
+	switch {
+	case err == nil:
+		k.mu.Lock()
+		k.Claim.Renewed(now)
+		k.mu.Unlock()
+		if !valid {
+			k.Changed()
+		}
+		return true
+	case errors.Is(err, store.ErrNoLease):
+		k.Log.Warn("lease has ended", "lease", lease)
+		k.mu.Lock()
+		k.Claim.Lost()
+		k.mu.Unlock()
+		k.Changed()
+	default:
+		k.Log.Info("renewal failed", "lease", lease, "error", err)
+		store.Pause(ctx, 300*time.Millisecond)
+	}
+	return false
+}
+
+// look compares a part's record with what is held, and claims a free part.
+func (k *Keeper) look(ctx context.Context, part string) {
+	if !k.View.Loaded() {
+		return
+	}
+	revision := k.View.Revision()
+	rec, known := k.View.Part(part)
+	k.mu.Lock()
+	before, _ := k.Claim.Held(part)
+	old := k.Claim.See(part, rec, known, revision)
+	after, held := k.Claim.Held(part)
+	valid := k.Claim.Valid(time.Now())
+	txn, term := k.Claim.Attempt(part, k.View.Term())
+	k.mu.Unlock()
+	if before != after {
+		k.Changed()
+	}
+	if old != 0 {
+		k.Log.Info("ending the lease of an earlier run of this controller", "lease", old, "part", part)
+		_ = k.Client.End(ctx, old)
+		_ = k.Follow.Barrier(ctx)
+		return
+	}
+	if known || held || !valid || !k.Ready() {
+		return
+	}
+	rev, err := k.Client.Txn(ctx, txn)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		k.mu.Lock()
+		k.Claim.Won(part, term, rev)
+		k.mu.Unlock()
+		k.Log.Info("claim won", "part", part, "term", term, "revision", rev)
+		k.Changed()
+	case errors.As(err, &conflict):
+		k.Log.Debug("claim lost to another", "part", part, "term", term)
+	default:
+		k.Log.Info("claim without an answer", "part", part, "term", term, "error", err)
+		store.Pause(ctx, 200*time.Millisecond)
+	}
+	_ = k.Follow.Barrier(ctx) // win or not, the view must know before the next look
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,95 @@
+// Package cloud calls the cloud that rents out machines.
+package cloud
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// ErrNoCapacity means that the cloud has no such machine to give.
+var ErrNoCapacity = errors.New("no capacity")
+
+// Client calls the cloud within its share of the limit.
+type Client struct {
+	addr    string
+	caller  *transport.Caller
+	limiter *rate.Limiter
+}
+
+// New gives a client that keeps to the limit of so many calls a second.
+func New(addr string, rps float64) *Client {
+	return &Client{addr, &transport.Caller{Limit: 4 << 20}, rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	if err := c.limiter.Wait(ctx); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
+	defer cancel()
+	resp, err := c.caller.Call(ctx, c.addr, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Status == 200 {
+		return resp.Body, nil
+	}
+	var f wire.Failure
+	if resp.Status == 503 && wire.Decode(resp.Body, &f) == nil && f.Error == ErrNoCapacity.Error() {
+		return nil, ErrNoCapacity
+	}
+	return nil, fmt.Errorf("cloud answers %d %s", resp.Status, f.Error)
+}
+
+// Types reads the machine types with their current prices.
+func (c *Client) Types(ctx context.Context) ([]wire.MachineType, error) {
+	b, err := c.call(ctx, "GET", wire.PathTypes, nil)
+	if err != nil {
+		return nil, err
+	}
+	return wire.DecodeTypes(b)
+}
+
+// Rent asks for machines and gives their names.
+func (c *Client) Rent(ctx context.Context, r wire.Rental) ([]string, error) {
+	b, err := c.call(ctx, "POST", wire.PathRentals, wire.Encode(r))
+	if err != nil {
+		return nil, err
+	}
+	var names wire.MachineNames
+	return names.Machines, wire.Decode(b, &names)
+}
+
+// Release returns machines. Once it has succeeded they are gone, with
+// everything on them.
+func (c *Client) Release(ctx context.Context, names []string) error {
+	_, err := c.call(ctx, "POST", wire.PathRelease, wire.Encode(wire.MachineNames{Machines: names}))
+	return err
+}
+
+// List reads the whole list of machines.
+func (c *Client) List(ctx context.Context) ([]wire.ListedMachine, error) {
+	var all []wire.ListedMachine
+	for after := ""; ; {
+		b, err := c.call(ctx, "GET", wire.ListPath(after), nil)
+		if err != nil {
+			return nil, err
+		}
+		var page wire.MachineList
+		if err := wire.Decode(b, &page); err != nil {
+			return nil, err
+		}
+		all = append(all, page.Machines...)
+		if !page.More || len(page.Machines) == 0 {
+			return all, nil
+		}
+		after = page.Machines[len(page.Machines)-1].ID
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,275 @@
+// Package config reads and checks the two files of settings: the platform's
+// (JSON, unknown fields ignored) and the operators' own (INI, unknown keys
+// refused).
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Config is everything that a controller is told when it starts.
+type Config struct {
+	Name, Zone           string
+	PublicAddr, MeshAddr string
+	Siblings             []Sibling
+	CloudAddr, StoreAddr string
+	Zones                []string
+	Teams                []Team
+	Objectives           []Objective
+	Workers              Workers
+	Store                Store
+	Cloud                Cloud
+	Limits               Limits
+	Tuning               Tuning
+}
+
+// Sibling is another controller.
+type Sibling struct {
+	Name string `json:"host_name"`
+	Zone string `json:"location"`
+	Addr string `json:"peer_addr"`
+}
+
+// Team is a team with what it is guaranteed and what it may use at most.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective repeats an aim of the users.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+}
+
+// Workers holds the timing of the workers' protocol.
+type Workers struct {
+	Report, Lease, GangWait, GangPeer, Cancel time.Duration
+}
+
+// Store holds the limits of the state service.
+type Store struct {
+	RPS, WriteRPS float64
+	ValueBytes    int
+	TxnOps        int
+}
+
+// Cloud holds the limits of the cloud.
+type Cloud struct {
+	RPS     float64
+	ListLag time.Duration
+}
+
+// Limits bounds this process.
+type Limits struct {
+	RAMBytes int64
+	Files    int
+}
+
+// Tuning is what operators may set themselves.
+type Tuning struct {
+	Lease       time.Duration // of the claim on the state service
+	Renew       time.Duration
+	RoundTasks  int
+	RoundWindow time.Duration
+	Idle        time.Duration // before an idle machine is returned
+	Silence     time.Duration // before a silent machine is given up
+}
+
+// DefaultTuning is used where the operators' file says nothing.
+func DefaultTuning() Tuning {
+	return Tuning{
+		Lease: 9 * time.Second, Renew: 3 * time.Second,
+		RoundTasks: 500, RoundWindow: 2 * time.Second,
+		Idle: 25 * time.Second, Silence: 12 * time.Second,
+	}
+}
+
+// platformFile is the platform's file as it is written.
+type platformFile struct {
+	Name       string    `json:"host_name"`
+	Zone       string    `json:"location"`
+	PublicAddr string    `json:"public_addr"`
+	MeshAddr   string    `json:"mesh_addr"`
+	Siblings   []Sibling `json:"siblings"`
+	Endpoints  struct {
+		Cloud string `json:"cloud"`
+		State string `json:"state"`
+	} `json:"endpoints"`
+	Params struct {
+		Zones      []string    `json:"zones"`
+		Teams      []Team      `json:"teams"`
+		Objectives []Objective `json:"objectives"`
+		Workers    struct {
+			ReportS   float64 `json:"report_s"`
+			LeaseS    float64 `json:"lease_s"`
+			GangWaitS float64 `json:"gang_wait_s"`
+			GangPeerS float64 `json:"gang_peer_s"`
+			CancelS   float64 `json:"cancel_s"`
+		} `json:"workers"`
+		State struct {
+			RPS      float64 `json:"rps"`
+			WriteRPS float64 `json:"write_rps"`
+			ValueKB  float64 `json:"value_kb"`
+			TxnOps   int     `json:"txn_ops"`
+		} `json:"state"`
+		Cloud struct {
+			RPS      float64 `json:"rps"`
+			ListLagS float64 `json:"list_lag_s"`
+		} `json:"cloud"`
+		Limits struct {
+			RAMMB float64 `json:"ram_mb"`
+			Files int     `json:"fd_limit"`
+		} `json:"limits"`
+	} `json:"params"`
+}
+
+// Load reads the platform's file and, where named, the operators' file. The
+// error joins every fault found.
+func Load(path, settings string) (*Config, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Parse(b)
+	if c == nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if settings != "" {
+		text, rerr := os.ReadFile(settings)
+		if rerr == nil {
+			rerr = c.Tuning.parse(text)
+		}
+		err = errors.Join(err, rerr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// faults gathers everything that is wrong with a file.
+type faults []error
+
+func (f *faults) check(ok bool, field string, value any, allowed string) {
+	if !ok {
+		*f = append(*f, fmt.Errorf("%s: %v: must be %s", field, value, allowed))
+	}
+}
+
+func (f *faults) addr(field, value string) {
+	_, err := netip.ParseAddrPort(value)
+	f.check(err == nil, field, fmt.Sprintf("%q", value), "an IP address and a port, such as 10.0.0.1:8080")
+}
+
+func (f *faults) positive(field string, value float64) {
+	f.check(value > 0 && !math.IsInf(value, 0), field, value, "a number above 0")
+}
+
+// Parse reads the platform's file. On a fault it still returns what it read,
+// unless that is not JSON at all.
+func Parse(text []byte) (*Config, error) {
+	var p platformFile
+	if err := json.Unmarshal(text, &p); err != nil {
+		return nil, fmt.Errorf("not a valid settings file: %w", err)
+	}
+	var f faults
+	f.check(p.Name != "", "host_name", `""`, "the name of this controller")
+	f.addr("public_addr", p.PublicAddr)
+	f.addr("mesh_addr", p.MeshAddr)
+	f.check(p.PublicAddr != p.MeshAddr, "mesh_addr", p.MeshAddr, "another address than public_addr")
+	f.addr("endpoints.cloud", p.Endpoints.Cloud)
+	f.addr("endpoints.state", p.Endpoints.State)
+	names := []string{p.Name}
+	for i, s := range p.Siblings {
+		f.check(s.Name != "" && !slices.Contains(names, s.Name), fmt.Sprintf("siblings[%d].host_name", i),
+			fmt.Sprintf("%q", s.Name), "a name that no other controller has")
+		names = append(names, s.Name)
+		f.addr(fmt.Sprintf("siblings[%d].peer_addr", i), s.Addr)
+	}
+	f.check(len(p.Params.Zones) > 0, "params.zones", "none", "at least one zone")
+	f.check(len(p.Params.Teams) > 0, "params.teams", "none", "at least one team")
+	for i, t := range p.Params.Teams {
+		at := fmt.Sprintf("params.teams[%d]", i)
+		f.check(t.Name != "", at+".name", `""`, "the team's name")
+		f.check(t.CPUs >= 0 && t.GPUs >= 0 && t.CPUsMax >= 0 && t.GPUsMax >= 0, at, t, "amounts of 0 or more")
+		f.check(t.CPUsMax == 0 || t.CPUs <= t.CPUsMax, at+".cpus", t.CPUs, "no more than cpus_max")
+		f.check(t.GPUsMax == 0 || t.GPUs <= t.GPUsMax, at+".gpus", t.GPUs, "no more than gpus_max")
+	}
+	w := p.Params.Workers
+	f.positive("params.workers.report_s", w.ReportS)
+	f.check(w.LeaseS > w.ReportS, "params.workers.lease_s", w.LeaseS, "more than report_s")
+	f.positive("params.workers.gang_wait_s", w.GangWaitS)
+	f.positive("params.workers.gang_peer_s", w.GangPeerS)
+	f.check(w.CancelS > w.LeaseS, "params.workers.cancel_s", w.CancelS, "more than lease_s")
+	s := p.Params.State
+	f.positive("params.state.rps", s.RPS)
+	f.positive("params.state.write_rps", s.WriteRPS)
+	f.check(s.ValueKB >= 1, "params.state.value_kb", s.ValueKB, "1 or more")
+	f.check(s.TxnOps >= 4, "params.state.txn_ops", s.TxnOps, "4 or more")
+	f.positive("params.cloud.rps", p.Params.Cloud.RPS)
+	f.check(p.Params.Cloud.ListLagS >= 0, "params.cloud.list_lag_s", p.Params.Cloud.ListLagS, "0 or more")
+	f.check(p.Params.Limits.RAMMB >= 32, "params.limits.ram_mb", p.Params.Limits.RAMMB, "32 or more")
+	f.check(p.Params.Limits.Files >= 64, "params.limits.fd_limit", p.Params.Limits.Files, "64 or more")
+
+	return &Config{
+		Name: p.Name, Zone: p.Zone, PublicAddr: p.PublicAddr, MeshAddr: p.MeshAddr, Siblings: p.Siblings,
+		CloudAddr: p.Endpoints.Cloud, StoreAddr: p.Endpoints.State,
+		Zones: p.Params.Zones, Teams: p.Params.Teams, Objectives: p.Params.Objectives,
+		Workers: Workers{seconds(w.ReportS), seconds(w.LeaseS), seconds(w.GangWaitS), seconds(w.GangPeerS), seconds(w.CancelS)},
+		Store:   Store{s.RPS, s.WriteRPS, int(s.ValueKB * 1024), s.TxnOps},
+		Cloud:   Cloud{p.Params.Cloud.RPS, seconds(p.Params.Cloud.ListLagS)},
+		Limits:  Limits{int64(p.Params.Limits.RAMMB * (1 << 20)), p.Params.Limits.Files},
+		Tuning:  DefaultTuning(),
+	}, errors.Join(f...)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// parse reads the operators' file into t.
+func (t *Tuning) parse(text []byte) error {
+	file, err := ini.Load(text)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	durations := map[string]*time.Duration{
+		"claim.lease": &t.Lease, "claim.renew": &t.Renew, "round.window": &t.RoundWindow,
+		"machines.idle": &t.Idle, "machines.silence": &t.Silence,
+	}
+	var f faults
+	for _, sec := range file.Sections() {
+		for _, key := range sec.Keys() {
+			name := sec.Name() + "." + key.Name()
+			if name == "round.tasks" {
+				n, err := key.Int()
+				f.check(err == nil && n >= 1 && n <= 500, name, key.Value(), "a count from 1 to 500")
+				t.RoundTasks = n
+				continue
+			}
+			d, known := durations[name]
+			if !known {
+				f.check(false, name, key.Value(), "one of claim.lease, claim.renew, round.window, round.tasks, machines.idle, machines.silence")
+				continue
+			}
+			v, err := time.ParseDuration(key.Value())
+			f.check(err == nil && v >= 100*time.Millisecond && v <= 10*time.Minute, name, key.Value(), "a duration from 100ms to 10m")
+			*d = v
+		}
+	}
+	f.check(t.Renew*2 <= t.Lease, "claim.renew", t.Renew, "at most half of claim.lease")
+	return errors.Join(f...)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,466 @@
+// Package fleet knows what may be running where, and when it is proven that
+// something is not. It is pure: times, reports and the cloud's answers come in.
+//
+// A task that may be on a machine is started elsewhere only after one of these
+// proofs of absence:
+//
+//  1. a newer report of the machine, at the own term, lacks the task or shows
+//     it ended;
+//  2. the machine is in a later session than the launch;
+//  3. the machine was seen at the own term, and its lease has run out since the
+//     last answer that it can have taken;
+//  4. the cloud has released the machine, or no longer lists it;
+//  5. the machine was never seen at the own term, but every earlier holder has
+//     stopped answering long enough ago for the machine's lease to be over.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// The margin beyond the drift of clocks that every proof by time leaves: a
+// worker drops an answer after 4 s.
+const (
+	drift  = 0.001
+	margin = 5 * time.Second
+)
+
+// Parts names the parts of the fleet. There is one, which holds every machine;
+// nothing else in the code relies on that.
+func Parts() []string { return []string{"fleet"} }
+
+// PartOf names the part that a machine belongs to, by its facts alone.
+func PartOf(zone, machineType string) string { return "fleet" }
+
+// State is how far a placement has come.
+type State int
+
+// The states of a placement, in the order in which they are reached.
+const (
+	Planned  State = iota // decided, nothing said to the machine
+	Sent                  // said in an answer that may or may not have been taken
+	Fetching              // the rest is as the worker reported it
+	Waiting
+	Running
+	Saving
+	Ended
+)
+
+// Placement is an attempt of a task that is or may be on a machine.
+type Placement struct {
+	Task      wire.TaskID
+	Attempt   uint64
+	Machine   string
+	State     State
+	Committed bool // its round is in the store, so that it may be said
+	Settled   bool // its end has been dealt with, so that it may be cleared
+	Cause     wire.Cause
+	Saved     bool
+	Stop      *Stop
+	Placed    time.Time
+	Begun     time.Time // first seen running
+	Seen      bool      // has been in a report
+
+	sentSession, sentSeq uint64
+}
+
+// Stop is the order to stop a placement.
+type Stop struct {
+	Grace time.Duration
+	Why   string
+	Since time.Time
+}
+
+// Active reports whether the placement may hold resources of its machine.
+func (p *Placement) Active() bool { return p.State != Ended }
+
+type placementKey struct {
+	task    wire.TaskID
+	attempt uint64
+}
+
+// Machine is a machine that may be launched on, or may once have been.
+type Machine struct {
+	ID, Addr, Type, Zone string
+	Spot                 bool
+	Up                   bool // has reported
+	AtTerm               bool // has been seen at the own term
+	Since                time.Time
+	UpSince              time.Time
+	Heard                time.Time // last new report
+	Answered             time.Time // last answer that it may have taken
+	Notice               time.Time // when the cloud takes it away; zero: no notice
+	Draining             string    // why nothing is placed here any more
+	Releasing            bool
+	Recorded             bool           // in the store, so that it may be launched on
+	Faults               map[string]int // jobs that failed here
+	IdleSince            time.Time
+	Listed               time.Time // when the cloud first listed it
+	Images               map[string]time.Time
+
+	Session    uint64
+	seq        uint64 // of the newest message
+	reportSeq  uint64 // of the newest report
+	proven     bool   // holds nothing from before the term, though not seen at it
+	placements map[placementKey]*Placement
+}
+
+// Placements lists what is or may be on the machine, in a fixed order.
+func (m *Machine) Placements() []*Placement {
+	out := make([]*Placement, 0, len(m.placements))
+	for _, p := range m.placements {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *Placement) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	return out
+}
+
+// Has reports whether any attempt of a task, even an ended one, is on the
+// machine. Another attempt would be refused as busy.
+func (m *Machine) Has(t wire.TaskID) bool {
+	for k := range m.placements {
+		if k.task == t {
+			return true
+		}
+	}
+	return false
+}
+
+// Fleet is what the holder of a part knows under its term.
+type Fleet struct {
+	Term     uint64
+	Claimed  time.Time
+	lease    time.Duration // of the workers
+	linger   time.Duration // how long an earlier holder answered after the claim, at most
+	listLag  time.Duration
+	machines map[string]*Machine
+	tasks    map[wire.TaskID]map[*Placement]bool
+	buried   map[string]bool // gone machines, which a stale list may still show
+}
+
+// New gives the empty fleet of a term. linger bounds for how long after the
+// claim an earlier holder may have gone on answering reports.
+func New(term uint64, claimed time.Time, workerLease, linger, listLag time.Duration) *Fleet {
+	return &Fleet{Term: term, Claimed: claimed, lease: workerLease, linger: max(linger, 0), listLag: listLag,
+		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID]map[*Placement]bool), buried: make(map[string]bool)}
+}
+
+// Know adds a machine that the cloud or a report names. One that the store did
+// not record when the term began was never launched on by an earlier holder.
+func (f *Fleet) Know(now time.Time, id, typ, zone string, spot bool) *Machine {
+	m := f.machines[id]
+	if m == nil {
+		delete(f.buried, id)
+		m = &Machine{ID: id, Type: typ, Zone: zone, Spot: spot, Since: now, IdleSince: now,
+			Images: map[string]time.Time{}, Faults: map[string]int{}, placements: map[placementKey]*Placement{}, proven: true}
+		f.machines[id] = m
+	}
+	return m
+}
+
+// Recall adds a machine that the store recorded: earlier holders may have
+// placed tasks on it.
+func (f *Fleet) Recall(now time.Time, id, addr, typ, zone string, spot bool) {
+	m := f.Know(now, id, typ, zone, spot)
+	m.Addr, m.proven, m.Recorded = addr, false, true
+}
+
+// Machine looks a machine up.
+func (f *Fleet) Machine(id string) *Machine { return f.machines[id] }
+
+// Machines lists all machines in order of their names.
+func (f *Fleet) Machines() []*Machine {
+	out := make([]*Machine, 0, len(f.machines))
+	for _, m := range f.machines {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *Machine) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Gone forgets a machine that is proven not to exist any more.
+func (f *Fleet) Gone(id string) {
+	if m := f.machines[id]; m != nil {
+		for _, p := range m.Placements() {
+			f.remove(m, p)
+		}
+		delete(f.machines, id)
+		f.buried[id] = true
+	}
+}
+
+func (f *Fleet) remove(m *Machine, p *Placement) {
+	delete(m.placements, placementKey{p.Task, p.Attempt})
+	if set := f.tasks[p.Task]; set != nil {
+		delete(set, p)
+		if len(set) == 0 {
+			delete(f.tasks, p.Task)
+		}
+	}
+}
+
+func (f *Fleet) add(m *Machine, p *Placement) {
+	m.placements[placementKey{p.Task, p.Attempt}] = p
+	if f.tasks[p.Task] == nil {
+		f.tasks[p.Task] = make(map[*Placement]bool)
+	}
+	f.tasks[p.Task][p] = true
+}
+
+// Place plans an attempt of a task on a machine. Nothing is said to the
+// machine before Committed is set.
+func (f *Fleet) Place(now time.Time, m *Machine, t wire.TaskID, attempt uint64) *Placement {
+	p := &Placement{Task: t, Attempt: attempt, Machine: m.ID, Placed: now}
+	f.add(m, p)
+	return p
+}
+
+// Withdraw takes a planned placement back; what was said can't be taken back.
+func (f *Fleet) Withdraw(p *Placement) bool {
+	if p.State != Planned {
+		return false
+	}
+	f.remove(f.machines[p.Machine], p)
+	return true
+}
+
+// Active gives the placement of a task that may hold resources, or nil when
+// the task is nowhere as far as this fleet knows.
+func (f *Fleet) Active(t wire.TaskID) *Placement {
+	var found *Placement
+	for p := range f.tasks[t] {
+		if p.Active() && (found == nil || p.Attempt > found.Attempt) {
+			found = p
+		}
+	}
+	return found
+}
+
+// Unproven lists the machines that may hold tasks that nobody knows of.
+func (f *Fleet) Unproven() []*Machine {
+	var out []*Machine
+	for _, m := range f.Machines() {
+		if !m.AtTerm && !m.proven {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Event is something that a report has shown.
+type Event struct {
+	Placement *Placement
+	Gone      bool // it is no longer there, and did not end in sight
+}
+
+// Observe takes in a worker's report, whichever way it came. A report proves
+// that an unseen launch was not taken only if it came by itself (own), since
+// the answer that carried the launch may be in flight beside any other.
+func (f *Fleet) Observe(now time.Time, r *wire.Report, own bool) []Event {
+	m := f.Know(now, r.Machine, r.Type, r.Zone, r.Spot)
+	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.seq {
+		return nil // late: its list is as old as the report
+	}
+	var events []Event
+	if r.Session > m.Session {
+		for _, p := range m.Placements() {
+			// Proof 2: the worker has forgotten all tasks of earlier sessions.
+			if p.State != Planned {
+				f.remove(m, p)
+				events = append(events, Event{p, true})
+			}
+		}
+		m.Session, m.seq, m.reportSeq = r.Session, 0, 0
+		m.Images = map[string]time.Time{}
+	}
+	m.seq = r.Seq
+	m.Addr, m.Heard = r.Addr, now
+	if !m.Up {
+		m.Up, m.UpSince, m.IdleSince = true, now, now
+	}
+	if r.NoticeS != nil {
+		m.Notice = now.Add(wire.Seconds(*r.NoticeS))
+	}
+	if r.Term == f.Term && !m.AtTerm {
+		m.AtTerm = true
+		if m.Answered.Before(now) {
+			m.Answered = now // an earlier holder's answer may have come until now
+		}
+	}
+	listed := make(map[placementKey]bool, len(r.Tasks))
+	for _, t := range r.Tasks {
+		listed[placementKey{t.ID, t.Attempt}] = true
+		if f.update(now, m, t) {
+			events = append(events, Event{m.placements[placementKey{t.ID, t.Attempt}], false})
+		}
+	}
+	if m.AtTerm && r.Term >= f.Term {
+		events = f.missing(m, r, own, listed, events)
+	}
+	if own {
+		m.reportSeq = r.Seq
+	}
+	return events
+}
+
+// missing deals with what a report at the own term does not list.
+func (f *Fleet) missing(m *Machine, r *wire.Report, own bool, listed map[placementKey]bool, events []Event) []Event {
+	for _, p := range m.Placements() {
+		if listed[placementKey{p.Task, p.Attempt}] || p.State == Planned {
+			continue
+		}
+		if p.State == Sent {
+			// Proof 1. One report is in flight at a time, and the answer to it
+			// is executed before the next is made, or never: the launch was
+			// lost, and may be said again.
+			if own && (r.Session != p.sentSession || r.Seq > p.sentSeq) {
+				p.State = Planned
+			}
+			continue
+		}
+		f.remove(m, p)
+		if p.State != Ended {
+			events = append(events, Event{p, true})
+		}
+	}
+	return events
+}
+
+// update takes in one reported task and reports whether its state is new.
+func (f *Fleet) update(now time.Time, m *Machine, t wire.ReportedTask) bool {
+	p := m.placements[placementKey{t.ID, t.Attempt}]
+	if p == nil {
+		p = &Placement{Task: t.ID, Attempt: t.Attempt, Machine: m.ID, Placed: now, Committed: true}
+		f.add(m, p)
+	}
+	state := map[wire.TaskState]State{wire.TaskFetching: Fetching, wire.TaskWaiting: Waiting,
+		wire.TaskRunning: Running, wire.TaskSaving: Saving, wire.TaskEnded: Ended}[t.State]
+	if state == Planned { // a state that this version does not know: it is there
+		state = Running
+	}
+	fresh := !p.Seen || p.State != state
+	p.Seen, p.State, p.Cause, p.Saved = true, state, t.Cause, t.Saved
+	if state == Running && p.Begun.IsZero() {
+		p.Begun = now
+	}
+	return fresh
+}
+
+// Answer gives the commands for the answer to a report that was just observed.
+// launch says whether the claim surely lasts. The answer counts as one that
+// the machine may have taken.
+func (f *Fleet) Answer(now time.Time, r *wire.Report, launch bool) []wire.Command {
+	cmds := []wire.Command{}
+	m := f.machines[r.Machine]
+	if m == nil {
+		return cmds
+	}
+	m.Answered = now
+	if r.Session != m.Session || r.Seq < m.reportSeq {
+		return cmds
+	}
+	launch = launch && m.AtTerm && m.Draining == "" && !m.Releasing && m.Notice.IsZero()
+	for _, p := range m.Placements() {
+		switch {
+		case p.State == Ended && p.Settled:
+			cmds = append(cmds, wire.Command{Verb: wire.Clear, Task: p.Task.String(), Attempt: p.Attempt})
+		case p.Stop != nil && p.Seen && p.Active():
+			cmds = append(cmds, p.stopCommand())
+		case p.State == Planned && p.Committed && p.Stop == nil && launch:
+			p.State, p.sentSession, p.sentSeq = Sent, r.Session, r.Seq
+			cmds = append(cmds, wire.Command{Verb: wire.Launch, Task: p.Task.String(), Attempt: p.Attempt})
+		}
+	}
+	return cmds
+}
+
+func (p *Placement) stopCommand() wire.Command {
+	grace := p.Stop.Grace.Seconds()
+	return wire.Command{Verb: wire.Stop, Task: p.Task.String(), Attempt: p.Attempt, GraceS: &grace}
+}
+
+// Stops gives the commands that may be sent straight to a machine: stopping is
+// harmless however late it is executed.
+func (f *Fleet) Stops(m *Machine) []wire.Command {
+	var cmds []wire.Command
+	for _, p := range m.Placements() {
+		if p.Stop != nil && p.State != Planned && p.Active() {
+			cmds = append(cmds, p.stopCommand())
+		}
+	}
+	return cmds
+}
+
+// Expire applies the proofs that time gives, and returns what they show gone.
+func (f *Fleet) Expire(now time.Time) []Event {
+	var events []Event
+	over := time.Duration(float64(f.lease)*(1+drift)) + margin
+	for _, m := range f.Machines() {
+		switch {
+		case m.AtTerm && now.Sub(m.Answered) > over:
+			// Proof 3: every task of the session is killed, and what was said
+			// to it can't be executed in the next.
+			for _, p := range m.Placements() {
+				f.remove(m, p)
+				events = append(events, Event{p, true})
+			}
+			m.Session, m.seq, m.reportSeq = m.Session+1, 0, 0
+			m.Answered = now
+		case !m.AtTerm && !m.proven && now.Sub(f.Claimed) > over+f.linger && now.Sub(m.Answered) > over:
+			// Proof 5.
+			m.proven = true
+			for _, p := range m.Placements() {
+				f.remove(m, p)
+				events = append(events, Event{p, true})
+			}
+		}
+	}
+	return events
+}
+
+// List takes in a complete list of the cloud that was asked for at a time, and
+// names the machines that it proves gone. A list may be old by twice the lag,
+// so that a machine counts as gone only if it was known to exist well before.
+func (f *Fleet) List(asked, now time.Time, list []wire.ListedMachine) (gone []string) {
+	stale := 2*f.listLag + 2*time.Second
+	here := make(map[string]bool, len(list))
+	for _, l := range list {
+		here[l.ID] = true
+		if l.Stage == wire.MachineFailed {
+			gone = append(gone, l.ID)
+			continue
+		}
+		if f.buried[l.ID] {
+			continue
+		}
+		m := f.Know(now, l.ID, l.Type, l.Zone, l.Spot)
+		if m.Addr == "" {
+			m.Addr = l.Addr
+		}
+		if m.Listed.IsZero() {
+			m.Listed = now
+		}
+	}
+	for _, m := range f.Machines() {
+		if here[m.ID] {
+			continue
+		}
+		known := m.Listed
+		if !m.Heard.IsZero() && (known.IsZero() || m.UpSince.Before(known)) {
+			known = m.UpSince
+		}
+		if known.IsZero() {
+			known = m.Since.Add(60 * time.Second) // rented or recorded, never listed
+		}
+		if asked.Sub(known) > stale {
+			gone = append(gone, m.ID)
+		}
+	}
+	return gone
+}
--- /dev/null
+++ b/internal/httpwire/httpwire.go
@@ -0,0 +1,295 @@
+// Package httpwire is the project's own HTTP/1.1: a parser and a writer for
+// requests and responses. Heads and bodies are bounded, and anything that two
+// readers could understand differently is refused.
+package httpwire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of a message's head.
+const (
+	maxLine    = 8 << 10
+	maxHeaders = 64
+)
+
+// Error is a fault of a peer's message, with the status that answers it.
+type Error struct {
+	Status int
+	Reason string
+}
+
+func (e *Error) Error() string { return e.Reason }
+
+func bad(status int, format string, args ...any) error {
+	return &Error{status, fmt.Sprintf(format, args...)}
+}
+
+// Request is a request that was read in whole.
+type Request struct {
+	Method, Path, Query string
+	Close               bool
+	Body                []byte
+}
+
+// Response is a response, read or to be written.
+type Response struct {
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration
+	Close      bool
+}
+
+// line reads a line that ends with CRLF or LF.
+func line(r *bufio.Reader) (string, error) {
+	var out []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		out = append(out, part...)
+		if len(out) > maxLine {
+			return "", bad(431, "line too long")
+		}
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			if errors.Is(err, io.EOF) && len(out) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return "", err
+		}
+	}
+	s := strings.TrimSuffix(strings.TrimSuffix(string(out), "\n"), "\r")
+	if strings.ContainsAny(s, "\r\x00") {
+		return "", bad(400, "control character in the head")
+	}
+	return s, nil
+}
+
+// head is what the headers of a message say about the rest of it.
+type head struct {
+	length     int64 // -1: not given
+	chunked    bool
+	close      bool
+	expect     bool
+	retryAfter time.Duration
+}
+
+func headers(r *bufio.Reader) (head, error) {
+	h := head{length: -1}
+	for n := 0; ; n++ {
+		s, err := line(r)
+		if err != nil {
+			return h, err
+		}
+		if s == "" {
+			break
+		}
+		if n == maxHeaders {
+			return h, bad(431, "too many headers")
+		}
+		name, value, ok := strings.Cut(s, ":")
+		if !ok || name == "" || strings.ContainsAny(name, " \t") {
+			return h, bad(400, "malformed header")
+		}
+		if err := h.set(strings.ToLower(name), strings.Trim(value, " \t")); err != nil {
+			return h, err
+		}
+	}
+	if h.chunked && h.length >= 0 {
+		return h, bad(400, "both a length and chunks")
+	}
+	return h, nil
+}
+
+func (h *head) set(name, value string) error {
+	switch name {
+	case "content-length":
+		n, err := strconv.ParseUint(value, 10, 62)
+		if err != nil || value[0] == '+' || h.length >= 0 && h.length != int64(n) {
+			return bad(400, "bad or conflicting content-length")
+		}
+		h.length = int64(n)
+	case "transfer-encoding":
+		if !strings.EqualFold(value, "chunked") || h.chunked {
+			return bad(501, "transfer encoding not supported")
+		}
+		h.chunked = true
+	case "connection":
+		for _, word := range strings.Split(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(word), "close") {
+				h.close = true
+			}
+		}
+	case "expect":
+		h.expect = true
+	case "retry-after":
+		if s, err := strconv.ParseUint(value, 10, 16); err == nil {
+			h.retryAfter = time.Duration(s) * time.Second
+		}
+	}
+	return nil
+}
+
+// body reads what the head announced, at most limit bytes.
+func body(r *bufio.Reader, h head, limit int64) ([]byte, error) {
+	if h.chunked {
+		return chunks(r, limit)
+	}
+	if h.length > limit {
+		return nil, bad(413, "body larger than %d bytes", limit)
+	}
+	if h.length <= 0 {
+		return nil, nil
+	}
+	b := make([]byte, h.length)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+func chunks(r *bufio.Reader, limit int64) ([]byte, error) {
+	var out []byte
+	for {
+		s, err := line(r)
+		if err != nil {
+			return nil, err
+		}
+		size, _, _ := strings.Cut(s, ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
+		if err != nil {
+			return nil, bad(400, "bad chunk size")
+		}
+		if int64(len(out))+int64(n) > limit {
+			return nil, bad(413, "body larger than %d bytes", limit)
+		}
+		if n == 0 {
+			break
+		}
+		at := len(out)
+		out = append(out, make([]byte, n)...)
+		if _, err := io.ReadFull(r, out[at:]); err != nil {
+			return nil, err
+		}
+		if s, err := line(r); err != nil || s != "" {
+			return nil, bad(400, "chunk without its end")
+		}
+	}
+	for n := 0; ; n++ { // trailers
+		s, err := line(r)
+		if err != nil {
+			return nil, err
+		}
+		if s == "" {
+			return out, nil
+		}
+		if n == maxHeaders {
+			return nil, bad(431, "too many trailers")
+		}
+	}
+}
+
+// ReadRequest reads one request with a body of at most limit bytes. io.EOF
+// means that the peer closed between requests.
+func ReadRequest(r *bufio.Reader, limit int64) (*Request, error) {
+	s, err := line(r)
+	if err != nil {
+		return nil, err
+	}
+	method, rest, ok := strings.Cut(s, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || method == "" || !strings.HasPrefix(target, "/") || strings.Contains(proto, " ") {
+		return nil, bad(400, "malformed request line")
+	}
+	if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+		return nil, bad(505, "not HTTP/1.1")
+	}
+	h, err := headers(r)
+	if err != nil {
+		return nil, err
+	}
+	if h.expect {
+		return nil, bad(417, "expectations are not met here")
+	}
+	b, err := body(r, h, limit)
+	if err != nil {
+		return nil, err
+	}
+	path, query, _ := strings.Cut(target, "?")
+	return &Request{method, path, query, h.close || proto == "HTTP/1.0", b}, nil
+}
+
+// AppendRequest writes a request.
+func AppendRequest(out []byte, host, method, target string, body []byte) []byte {
+	out = fmt.Appendf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, target, host)
+	if body != nil {
+		out = append(out, "Content-Type: application/cbor\r\n"...)
+	}
+	if body != nil || method == "POST" {
+		out = fmt.Appendf(out, "Content-Length: %d\r\n", len(body))
+	}
+	out = append(out, "\r\n"...)
+	return append(out, body...)
+}
+
+// ReadResponse reads one response with a body of at most limit bytes.
+func ReadResponse(r *bufio.Reader, limit int64) (*Response, error) {
+	s, err := line(r)
+	if err != nil {
+		return nil, err
+	}
+	proto, rest, _ := strings.Cut(s, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	status, err := strconv.Atoi(code)
+	if err != nil || !strings.HasPrefix(proto, "HTTP/1.") || status < 200 || status > 599 {
+		return nil, bad(502, "malformed status line")
+	}
+	h, err := headers(r)
+	if err != nil {
+		return nil, err
+	}
+	resp := &Response{Status: status, RetryAfter: h.retryAfter, Close: h.close}
+	if status == 204 || status == 304 {
+		return resp, nil
+	}
+	if !h.chunked && h.length < 0 { // the body lasts until the peer closes
+		resp.Close = true
+		resp.Body, err = io.ReadAll(io.LimitReader(r, limit+1))
+		if err == nil && int64(len(resp.Body)) > limit {
+			err = bad(502, "body larger than %d bytes", limit)
+		}
+		return resp, err
+	}
+	resp.Body, err = body(r, h, limit)
+	return resp, err
+}
+
+var reasons = map[int]string{
+	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed", 421: "Misdirected Request", 422: "Unprocessable Content",
+	429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+	503: "Service Unavailable", 505: "HTTP Version Not Supported",
+}
+
+// AppendResponse writes a response.
+func AppendResponse(out []byte, r *Response) []byte {
+	out = fmt.Appendf(out, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", r.Status, reasons[r.Status], len(r.Body))
+	if len(r.Body) > 0 {
+		out = append(out, "Content-Type: application/cbor\r\n"...)
+	}
+	if r.RetryAfter > 0 {
+		out = fmt.Appendf(out, "Retry-After: %d\r\n", int((r.RetryAfter+time.Second-1)/time.Second))
+	}
+	if r.Close {
+		out = append(out, "Connection: close\r\n"...)
+	}
+	out = append(out, "\r\n"...)
+	return append(out, r.Body...)
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,113 @@
+// Package mesh is what controllers tell each other: a beat a second, in gob,
+// with counts for display and signs of health. Nothing that a rule rests on
+// goes this way.
+package mesh
+
+import (
+	"context"
+	"encoding/gob"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/round"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/internal/transport"
+)
+
+// Beat is what one controller says of itself.
+type Beat struct {
+	From    string
+	StoreOK bool                   // the store answers it
+	Term    uint64                 // of the part that it holds, 0 for none
+	Counts  map[string]round.Count // of the jobs, from the holder
+	Heard   int                    // machines that reported to it lately
+}
+
+type heard struct {
+	beat Beat
+	at   time.Time
+}
+
+// Mesh keeps the last beat of each sibling.
+type Mesh struct {
+	Siblings map[string]string // name to address
+	Beat     func() Beat
+	Log      *slog.Logger
+
+	mu   sync.Mutex
+	last map[string]heard
+}
+
+// Every is the time between two beats.
+const Every = time.Second
+
+// Last gives the latest beats that are no older than age.
+func (m *Mesh) Last(age time.Duration) map[string]Beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]Beat)
+	for name, h := range m.last {
+		if time.Since(h.at) <= age {
+			out[name] = h.beat
+		}
+	}
+	return out
+}
+
+// Receive reads the beats of one connection.
+func (m *Mesh) Receive(_ context.Context, c *transport.Conn) {
+	c.ReadTimeout = 10 * time.Second
+	dec := gob.NewDecoder(c)
+	for {
+		var b Beat
+		if err := dec.Decode(&b); err != nil {
+			return
+		}
+		if _, known := m.Siblings[b.From]; !known {
+			m.Log.Warn("beat of a stranger", "from", b.From)
+			return
+		}
+		m.mu.Lock()
+		if m.last == nil {
+			m.last = make(map[string]heard)
+		}
+		m.last[b.From] = heard{b, time.Now()}
+		m.mu.Unlock()
+	}
+}
+
+// Send keeps telling one sibling until the context ends.
+func (m *Mesh) Send(ctx context.Context, addr string) error {
+	for ctx.Err() == nil {
+		if err := m.stream(ctx, addr); err != nil && ctx.Err() == nil {
+			m.Log.Debug("sibling not reached", "addr", addr, "error", err)
+		}
+		store.Pause(ctx, Every)
+	}
+	return nil
+}
+
+func (m *Mesh) stream(ctx context.Context, addr string) error {
+	d := net.Dialer{Timeout: 2 * time.Second}
+	conn, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	enc := gob.NewEncoder(conn)
+	tick := time.NewTicker(Every)
+	defer tick.Stop()
+	for {
+		_ = conn.SetWriteDeadline(time.Now().Add(3 * time.Second))
+		if err := enc.Encode(m.Beat()); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/round/holder.go
@@ -0,0 +1,227 @@
+// Package round is the holder's loop: it collects what the workers and the
+// cloud report, decides, and writes each round as one fenced transaction.
+// Only after the store has taken a round are its launches said to anyone.
+package round
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/claim"
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/internal/sched"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// history is what the holder remembers of a job beside its placements.
+type history struct {
+	failed    map[string]bool // machines on which it failed
+	notBefore time.Time       // back-off
+	failures  int
+	finished  map[int]bool // reported done
+	stored    map[int]bool // and in the store
+	ended     time.Time    // when it was first seen cancelled or done
+}
+
+// ask is a rental on its way.
+type ask struct {
+	name      string
+	offer     sched.Offer
+	count     int
+	committed bool // its intent is in the store
+	sending   bool
+}
+
+// Holder holds one part of the fleet under one term. Its methods are pure but
+// for the lock: times and events come in, commands and transactions go out.
+type Holder struct {
+	cfg  *config.Config
+	held claim.Held
+	log  *slog.Logger
+	// lookup finds the record of a job, final ones included.
+	lookup func(job string) (store.JobRecord, bool)
+
+	mu           sync.Mutex
+	fleet        *fleet.Fleet
+	types        []wire.MachineType
+	round        uint64
+	roundVersion uint64
+	sequence     uint64 // of attempts and asks within the term
+	jobs         map[string]*history
+	asks         map[string]*ask
+	dropAsks     map[string]bool // asks to drop from the store
+	dropMachines map[string]bool // machine records to drop
+	release      map[string]bool // machines to release
+	refused      map[sched.Offer]time.Time
+	live         map[string]*store.LiveJob // of the last snapshot
+	kick         chan struct{}
+	rebuilt      bool
+	typesChanged bool
+}
+
+// linger bounds how long after its last confirmed renewal a holder answers
+// reports: tasks live through an outage of the store, but a holder that is cut
+// off must not keep a cancelled task alive for longer than is allowed.
+func linger(c *config.Config) time.Duration {
+	return max(0, c.Workers.Cancel-c.Workers.Lease-5*time.Second)
+}
+
+// New gives the holder of a claim, from a snapshot that is not older.
+func New(cfg *config.Config, held claim.Held, snap store.Snapshot, last store.Versioned[store.RoundRecord], types []wire.MachineType,
+	lookup func(string) (store.JobRecord, bool), now time.Time, log *slog.Logger) *Holder {
+	h := &Holder{
+		cfg: cfg, held: held, log: log.With("part", held.Part, "term", held.Term), lookup: lookup,
+		fleet: fleet.New(held.Term, now, cfg.Workers.Lease, linger(cfg), cfg.Cloud.ListLag),
+		types: types, round: last.Record.Round, roundVersion: last.Version,
+		jobs: map[string]*history{}, asks: map[string]*ask{}, dropAsks: map[string]bool{}, dropMachines: map[string]bool{},
+		release: map[string]bool{}, refused: map[sched.Offer]time.Time{}, kick: make(chan struct{}, 1),
+	}
+	for id, m := range snap.Machines {
+		if fleet.PartOf(m.Zone, m.Type) == held.Part {
+			h.fleet.Recall(now, id, m.Addr, m.Type, m.Zone, m.Spot)
+		}
+	}
+	for name, a := range snap.Asks {
+		// An earlier holder's request: the same name gets the same answer.
+		h.asks[name] = &ask{name, sched.Offer{Type: a.Type, Zone: a.Zone, Spot: a.Spot}, a.Count, true, false}
+	}
+	h.live = snap.Live
+	return h
+}
+
+// Term is the holder's term.
+func (h *Holder) Term() uint64 { return h.held.Term }
+
+// Kick asks for a round soon.
+func (h *Holder) Kick() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Holder) history(job string) *history {
+	j := h.jobs[job]
+	if j == nil {
+		j = &history{failed: map[string]bool{}, finished: map[int]bool{}, stored: map[int]bool{}}
+		h.jobs[job] = j
+	}
+	return j
+}
+
+// SetTypes takes in the cloud's machine types.
+func (h *Holder) SetTypes(t []wire.MachineType) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.types = t
+	h.typesChanged = true
+}
+
+// Report takes in a worker's report and gives the answer to it. launch says
+// whether the claim surely lasts.
+func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) wire.Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	events := h.fleet.Observe(now, r, true)
+	h.take(now, events)
+	cmds := h.fleet.Answer(now, r, launch)
+	for _, c := range cmds {
+		h.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", r.Machine)
+	}
+	return wire.Answer{Term: h.held.Term, Commands: cmds}
+}
+
+// Inspected takes in a report that came as the body of a direct call.
+func (h *Holder) Inspected(now time.Time, r *wire.Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.take(now, h.fleet.Observe(now, r, false))
+}
+
+// take deals with what reports and proofs have shown.
+func (h *Holder) take(now time.Time, events []fleet.Event) {
+	for _, e := range events {
+		p := e.Placement
+		if e.Gone {
+			h.log.Info("task gone", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine)
+		} else if p.State == fleet.Ended && !p.Settled {
+			h.ended(now, p)
+		}
+	}
+	if len(events) > 0 || !h.rebuilt {
+		h.Kick()
+	}
+}
+
+func (h *Holder) ended(now time.Time, p *fleet.Placement) {
+	j, m := h.history(p.Task.Job), h.fleet.Machine(p.Machine)
+	h.log.Debug("task ended", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "cause", p.Cause, "saved", p.Saved)
+	if p.Cause == wire.CauseDone {
+		clear(m.Faults)
+		h.finish(p.Task, j)
+		return
+	}
+	p.Settled = true
+	switch p.Cause {
+	case wire.CauseError:
+		// Evidence about the machine and about the job: other jobs failing
+		// here condemn the machine, this job failing elsewhere makes it wait.
+		h.log.Info("task failed", "task", p.Task, "machine", p.Machine)
+		m.Faults[p.Task.Job]++
+		j.failed[p.Machine] = true
+		j.failures++
+		if len(m.Faults) >= 2 && m.Draining == "" {
+			m.Draining = "different jobs fail on it"
+			h.log.Warn("machine condemned", "machine", m.ID, "why", m.Draining)
+		}
+		if n := len(j.failed); n >= 3 {
+			j.notBefore = now.Add(min(2*time.Minute, time.Second<<min(n, 7)))
+		}
+	case wire.CauseNoRoom, wire.CauseBusy, wire.CauseUnknown:
+		h.log.Info("launch refused", "task", p.Task, "machine", p.Machine, "cause", p.Cause)
+		j.notBefore = now.Add(time.Second)
+	}
+}
+
+// finish marks a task as done; the tasks of a gang complete together.
+func (h *Holder) finish(t wire.TaskID, j *history) {
+	j.finished[t.Index] = true
+	if l := h.live[t.Job]; l != nil && l.Record.Job.Shape == wire.Gang {
+		for i := range l.Record.Tasks {
+			j.finished[i] = true
+		}
+	}
+}
+
+// Count is how many tasks of a job run and are done, for display.
+type Count struct{ Running, Done int }
+
+// Counts gives the counts of all live jobs.
+func (h *Holder) Counts() map[string]Count {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[string]Count, len(h.live))
+	for id, l := range h.live {
+		c := Count{Done: l.Finished.Count()}
+		if j := h.jobs[id]; j != nil {
+			for i := range j.stored {
+				if !l.Finished.Has(i) {
+					c.Done++
+				}
+			}
+		}
+		out[id] = c
+	}
+	for _, m := range h.fleet.Machines() {
+		for _, p := range m.Placements() {
+			if c, ok := out[p.Task.Job]; ok && (p.State == fleet.Running || p.State == fleet.Saving) {
+				c.Running++
+				out[p.Task.Job] = c
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/round/picture.go
@@ -0,0 +1,143 @@
+package round
+
+import (
+	"time"
+
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/internal/sched"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// fresh is how recent a report must be for a machine to be launched on.
+const fresh = 6 * time.Second
+
+// refusal is how long the cloud's refusal of an offer is remembered.
+const refusal = 12 * time.Second
+
+// picture builds what sched decides on.
+func (h *Holder) picture(now time.Time) *sched.Picture {
+	pic := &sched.Picture{Types: h.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Offer]bool{}, Idle: h.cfg.Tuning.Idle}
+	for _, t := range h.cfg.Teams {
+		pic.Teams[t.Name] = &sched.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
+	}
+	for o, at := range h.refused {
+		if now.Sub(at) < refusal {
+			pic.Refused[o] = true
+		}
+	}
+	unproven := h.fleet.Unproven()
+	if len(unproven) == 0 && !h.rebuilt {
+		h.rebuilt = true
+		h.log.Info("rebuilt", "after", now.Sub(h.fleet.Claimed), "machines", len(h.fleet.Machines()))
+	}
+	jobs := h.pictureJobs(now, len(unproven) > 0)
+	for _, m := range h.fleet.Machines() {
+		pic.Machines = append(pic.Machines, h.pictureMachine(now, m, jobs, pic.Teams))
+	}
+	for _, name := range sortedKeys(h.asks) {
+		a := h.asks[name]
+		for range a.count {
+			pic.Machines = append(pic.Machines, &sched.Machine{Type: a.offer.Type, Zone: a.offer.Zone, Spot: a.offer.Spot,
+				Booting: true, Free: size(h.typeOf(a.offer.Type))})
+		}
+	}
+	for _, m := range unproven {
+		// What it may run is unknown: it counts in whole against every limit.
+		s := size(h.typeOf(m.Type))
+		for _, t := range pic.Teams {
+			t.UsedCPUs += s.CPUs
+			t.UsedGPUs += s.GPUs
+		}
+	}
+	if !h.rebuilt {
+		pic.Idle = time.Hour
+	}
+	for _, id := range sortedKeys(jobs) {
+		pic.Jobs = append(pic.Jobs, jobs[id])
+	}
+	return pic
+}
+
+func size(t wire.MachineType) sched.Amount {
+	return sched.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+}
+
+// pictureJobs lists the live jobs with the tasks that may be placed. While a
+// machine is unproven, only jobs from after the claim can't be anywhere yet.
+func (h *Holder) pictureJobs(now time.Time, rebuilding bool) map[string]*sched.Job {
+	jobs := make(map[string]*sched.Job, len(h.live))
+	for id, l := range h.live {
+		j := &sched.Job{Job: l.Record.Job, Order: l.Version, InZone: map[string]int{},
+			Age: now.Sub(time.UnixMilli(l.Record.Created))}
+		hist := h.jobs[id]
+		if hist != nil {
+			j.Avoid = hist.failed
+			if len(hist.failed) >= 3 {
+				j.Avoid = nil // it fails everywhere: any machine will do, after the back-off
+			}
+		}
+		jobs[id] = j
+		if rebuilding && l.Version <= h.held.Revision || hist != nil && now.Before(hist.notBefore) {
+			continue
+		}
+		for i := 0; i < l.Record.Tasks && len(j.Waiting) < h.cfg.Tuning.RoundTasks; i++ {
+			if l.Finished.Has(i) || hist != nil && hist.finished[i] || h.fleet.Active(wire.TaskID{Job: id, Index: i}) != nil {
+				continue
+			}
+			j.Waiting = append(j.Waiting, i)
+		}
+	}
+	return jobs
+}
+
+func (h *Holder) pictureMachine(now time.Time, m *fleet.Machine, jobs map[string]*sched.Job, teams map[string]*sched.Team) *sched.Machine {
+	t := h.typeOf(m.Type)
+	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t), Images: map[string]bool{}}
+	s.Usable = m.Up && m.AtTerm && m.Recorded && m.Draining == "" && !m.Releasing && m.Notice.IsZero() && now.Sub(m.Heard) < fresh
+	s.Booting = !m.Up && !m.Recorded && !m.Releasing && m.Draining == ""
+	busy := false
+	for _, p := range m.Placements() {
+		l := h.live[p.Task.Job]
+		if l != nil {
+			m.Images[l.Record.Job.Image] = now
+		}
+		if !p.Active() {
+			if l != nil {
+				s.Images[l.Record.Job.Image] = true
+			}
+			continue
+		}
+		busy = true
+		takes := h.takes(p.Task.Job)
+		if takes == nil { // nobody knows what it takes: nothing else fits
+			s.Usable = false
+			continue
+		}
+		// A task of a job that is over counts until it is gone.
+		s.Free = s.Free.Plus(sched.Amount{CPUs: takes.CPUs, GPUs: takes.GPUs, MemoryGB: takes.MemoryGB}, -1)
+		if team := teams[takes.Team]; team != nil {
+			team.UsedCPUs += takes.CPUs
+			team.UsedGPUs += takes.GPUs
+		}
+		if j := jobs[p.Task.Job]; j != nil {
+			j.Active++
+			j.InZone[m.Zone]++
+			if p.Stop != nil {
+				j.Ending = true
+			}
+			ran := time.Duration(0)
+			if !p.Begun.IsZero() {
+				ran = now.Sub(p.Begun)
+			}
+			s.Tasks = append(s.Tasks, sched.Task{Job: j, Index: p.Task.Index, Ran: ran, Stopping: p.Stop != nil})
+		}
+	}
+	for image := range m.Images {
+		s.Images[image] = true
+	}
+	if busy {
+		m.IdleSince = now
+	}
+	s.Idle = now.Sub(m.IdleSince)
+	return s
+}
--- /dev/null
+++ b/internal/round/run.go
@@ -0,0 +1,298 @@
+package round
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"amberdeal.example/amberdeal/internal/cloud"
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/internal/worker"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Edges is what a holder's duties reach the world by.
+type Edges struct {
+	Store   *store.Client
+	View    *store.View
+	Follow  *store.Follower
+	Cloud   *cloud.Client
+	Workers *worker.Client
+	// Valid says whether the claim surely lasts.
+	Valid func() bool
+	// Fenced is called when the store has refused a round because the claim
+	// is gone.
+	Fenced func()
+}
+
+// roundGap is the least time between two rounds: reports that come together
+// share one write.
+const roundGap = 120 * time.Millisecond
+
+// Run does the holder's duties until the context ends.
+func (h *Holder) Run(ctx context.Context, e Edges) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.rounds(ctx, e) })
+	g.Go(func() error { return h.direct(ctx, e) })
+	g.Go(func() error { return h.watchCloud(ctx, e) })
+	g.Go(func() error { return h.releases(ctx, e) })
+	return g.Wait()
+}
+
+func (h *Holder) rounds(ctx context.Context, e Edges) error {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		changed := e.View.Changed()
+		if e.Valid() {
+			if d := h.Decide(begun, e.View.Snapshot()); d != nil {
+				h.write(ctx, e, d)
+			}
+			h.startAsks(ctx, e)
+		}
+		store.Pause(ctx, max(roundGap-time.Since(begun), 10*time.Millisecond))
+		t := time.NewTimer(h.cfg.Tuning.RoundWindow / 2)
+		select {
+		case <-ctx.Done():
+		case <-h.kick:
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// write commits a round. As long as its fate is unknown the same transaction
+// is repeated: the condition on the round's record lets only one copy through,
+// however late another is applied.
+func (h *Holder) write(ctx context.Context, e Edges, d *Draft) {
+	for ctx.Err() == nil {
+		rev, err := e.Store.Txn(ctx, d.Txn)
+		var conflict *store.ConflictError
+		switch {
+		case err == nil:
+			h.Committed(d, rev)
+			return
+		case errors.As(err, &conflict):
+			if e.Follow.Barrier(ctx) != nil {
+				store.Pause(ctx, 200*time.Millisecond)
+				continue
+			}
+			last := e.View.Round(h.held.Part)
+			if last.Record.Term == h.held.Term && last.Record.Round == d.Number {
+				h.Committed(d, last.Version) // a copy without an answer was taken
+				return
+			}
+			h.log.Info("round refused", "number", d.Number, "failed", conflict.Failed)
+			h.Discard(d)
+			if failedOn(conflict.Failed, store.PartKey(h.held.Part)) || failedOn(conflict.Failed, store.RoundKey(h.held.Part)) {
+				e.Fenced()
+			}
+			return
+		default:
+			h.log.Info("round without an answer", "number", d.Number, "error", err)
+			store.Pause(ctx, 300*time.Millisecond)
+		}
+	}
+}
+
+// direct sends stops straight to the machines, and raises the term at machines
+// that have not been seen at it.
+func (h *Holder) direct(ctx context.Context, e Edges) error {
+	type last struct {
+		at time.Time
+		n  int
+	}
+	sent := make(map[string]last)
+	busy := make(chan struct{}, 16)
+	for ctx.Err() == nil {
+		now := time.Now()
+		for _, c := range h.calls() {
+			l := sent[c.machine]
+			if now.Sub(l.at) < 3*time.Second && l.n >= len(c.commands) && !(c.raise && now.Sub(l.at) > time.Second) {
+				continue
+			}
+			sent[c.machine] = last{now, len(c.commands)}
+			select {
+			case busy <- struct{}{}:
+				go func() {
+					defer func() { <-busy }()
+					h.callMachine(ctx, e, c)
+				}()
+			default:
+			}
+		}
+		store.Pause(ctx, 200*time.Millisecond)
+	}
+	return nil
+}
+
+// call is a direct call to a machine.
+type call struct {
+	machine, addr string
+	session       uint64
+	raise         bool
+	commands      []wire.Command
+}
+
+func (h *Holder) calls() []call {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []call
+	for _, m := range h.fleet.Machines() {
+		if m.Addr == "" || m.Releasing {
+			continue
+		}
+		c := call{m.ID, m.Addr, m.Session, !m.AtTerm && (m.Up || m.Recorded), h.fleet.Stops(m)}
+		if c.raise || len(c.commands) > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (h *Holder) callMachine(ctx context.Context, e Edges, c call) {
+	if c.session == 0 {
+		r, err := e.Workers.Inspect(ctx, c.addr)
+		if err != nil || r.Machine != c.machine {
+			return
+		}
+		h.Inspected(time.Now(), r)
+		c.session = r.Session
+	}
+	r, _, err := e.Workers.Do(ctx, c.addr, wire.Direct{Term: h.held.Term, Session: c.session, Commands: c.commands})
+	if err != nil || r.Machine != c.machine {
+		h.log.Debug("direct call failed", "machine", c.machine, "error", err)
+		return
+	}
+	if r.Term <= h.held.Term {
+		h.Inspected(time.Now(), r)
+	}
+}
+
+// watchCloud reads the list of machines and their types.
+func (h *Holder) watchCloud(ctx context.Context, e Edges) error {
+	var typesAt time.Time
+	for ctx.Err() == nil {
+		asked := time.Now()
+		list, err := e.Cloud.List(ctx)
+		if err == nil {
+			h.listed(asked, time.Now(), list)
+		} else {
+			h.log.Debug("listing machines failed", "error", err)
+		}
+		if time.Since(typesAt) > 30*time.Second {
+			if types, err := e.Cloud.Types(ctx); err == nil {
+				typesAt = time.Now()
+				h.SetTypes(types)
+			}
+		}
+		store.Pause(ctx, 1500*time.Millisecond)
+	}
+	return nil
+}
+
+func (h *Holder) listed(asked, now time.Time, list []wire.ListedMachine) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	mine := list[:0:0]
+	for _, l := range list {
+		if fleet.PartOf(l.Zone, l.Type) == h.held.Part {
+			mine = append(mine, l)
+		}
+	}
+	for _, id := range h.fleet.List(asked, now, mine) {
+		h.gone(id, "the cloud no longer has it")
+	}
+	for _, l := range mine {
+		if l.Stage == wire.MachineFailed {
+			h.release[l.ID] = true // it stays listed until it is deleted
+		}
+	}
+}
+
+// gone forgets a machine that is proven gone.
+func (h *Holder) gone(id, why string) {
+	if m := h.fleet.Machine(id); m != nil {
+		h.log.Info("machine gone", "machine", id, "why", why)
+		if m.Recorded {
+			h.dropMachines[id] = true
+		}
+		h.fleet.Gone(id)
+		h.Kick()
+	}
+	delete(h.release, id)
+}
+
+// startAsks sends the rentals whose intents are stored.
+func (h *Holder) startAsks(ctx context.Context, e Edges) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, name := range sortedKeys(h.asks) {
+		if a := h.asks[name]; a.committed && !a.sending {
+			a.sending = true
+			go h.rent(ctx, e, a)
+		}
+	}
+}
+
+// rent repeats a request until the cloud has decided; its name makes sure that
+// it is carried out once.
+func (h *Holder) rent(ctx context.Context, e Edges, a *ask) {
+	for ctx.Err() == nil {
+		names, err := e.Cloud.Rent(ctx, wire.Rental{Ask: a.name, Type: a.offer.Type, Zone: a.offer.Zone, Spot: a.offer.Spot, Count: a.count})
+		if err != nil && !errors.Is(err, cloud.ErrNoCapacity) {
+			h.log.Debug("rental without an answer", "ask", a.name, "error", err)
+			store.Pause(ctx, time.Second)
+			continue
+		}
+		h.rented(time.Now(), a, names)
+		return
+	}
+}
+
+func (h *Holder) rented(now time.Time, a *ask, names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.log.Info("rented", "ask", a.name, "type", a.offer.Type, "zone", a.offer.Zone, "spot", a.offer.Spot, "wanted", a.count, "got", len(names))
+	for _, id := range names {
+		h.fleet.Know(now, id, a.offer.Type, a.offer.Zone, a.offer.Spot)
+	}
+	if len(names) < a.count {
+		h.refused[a.offer] = now
+	}
+	delete(h.asks, a.name)
+	h.dropAsks[a.name] = true
+	h.Kick()
+}
+
+// releases returns the machines that are given up, again until the cloud has
+// taken it.
+func (h *Holder) releases(ctx context.Context, e Edges) error {
+	for ctx.Err() == nil {
+		if names := h.toRelease(); len(names) > 0 && e.Valid() {
+			if err := e.Cloud.Release(ctx, names); err == nil {
+				h.mu.Lock()
+				for _, id := range names {
+					h.gone(id, "released")
+				}
+				h.mu.Unlock()
+			} else {
+				h.log.Debug("release without an answer", "machines", names, "error", err)
+				store.Pause(ctx, time.Second)
+			}
+		}
+		store.Pause(ctx, 300*time.Millisecond)
+	}
+	return nil
+}
+
+func (h *Holder) toRelease() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	names := sortedKeys(h.release)
+	return names[:min(len(names), wire.MaxRelease)]
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,560 @@
+// Package sched chooses what runs where: a pure function from a picture of the
+// fleet to launches, stops, rentals and releases. It does no I/O, reads no
+// clock, and goes through everything in a fixed order.
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Amount is what a task takes or a machine has.
+type Amount struct{ CPUs, GPUs, MemoryGB float64 }
+
+// Of is what one task of a job takes.
+func Of(j *wire.Job) Amount { return Amount{j.CPUs, j.GPUs, j.MemoryGB} }
+
+// Plus adds, n times.
+func (a Amount) Plus(b Amount, n float64) Amount {
+	return Amount{a.CPUs + n*b.CPUs, a.GPUs + n*b.GPUs, a.MemoryGB + n*b.MemoryGB}
+}
+
+// Fits reports whether b fits into a.
+func (a Amount) Fits(b Amount) bool {
+	const dust = 1e-6
+	return b.CPUs <= a.CPUs+dust && b.GPUs <= a.GPUs+dust && b.MemoryGB <= a.MemoryGB+dust
+}
+
+// Slots is how many times b fits into a.
+func (a Amount) Slots(b Amount) int {
+	n := math.Inf(1)
+	for _, p := range [][2]float64{{a.CPUs, b.CPUs}, {a.GPUs, b.GPUs}, {a.MemoryGB, b.MemoryGB}} {
+		if p[1] > 0 {
+			n = min(n, math.Floor(p[0]/p[1]+1e-6))
+		}
+	}
+	return int(min(n, wire.MaxTasks))
+}
+
+// Task is a task on a machine.
+type Task struct {
+	Job      *Job
+	Index    int
+	Ran      time.Duration // since it was seen running
+	Stopping bool
+}
+
+// Machine is a machine as the choice sees it.
+type Machine struct {
+	ID, Type, Zone string
+	Spot           bool
+	Usable         bool // may be launched on now
+	Booting        bool
+	Free           Amount
+	Images         map[string]bool
+	Tasks          []Task
+	Idle           time.Duration // without any task, 0 while it has one
+	taken          bool          // by the plan being made
+}
+
+// Job is an unfinished job.
+type Job struct {
+	*wire.Job
+	Age     time.Duration
+	Order   uint64
+	Waiting []int // tasks that are nowhere and may be placed
+	InZone  map[string]int
+	Active  int
+	Ending  bool            // a gang of which tasks are still to leave
+	Avoid   map[string]bool // machines on which it failed
+
+	guaranteed bool
+}
+
+// Team is what a team is guaranteed, may use at most, and uses. A limit of 0
+// means none.
+type Team struct {
+	CPUs, GPUs, CPUsMax, GPUsMax float64
+	UsedCPUs, UsedGPUs           float64
+}
+
+func (t *Team) allows(a Amount) bool {
+	const dust = 1e-6
+	return (t.CPUsMax == 0 || t.UsedCPUs+a.CPUs <= t.CPUsMax+dust) && (t.GPUsMax == 0 || t.UsedGPUs+a.GPUs <= t.GPUsMax+dust)
+}
+
+func (t *Team) use(a Amount) { t.UsedCPUs += a.CPUs; t.UsedGPUs += a.GPUs }
+
+// Offer is a type of machine in a zone, ordinary or spot.
+type Offer struct {
+	Type, Zone string
+	Spot       bool
+}
+
+// Picture is all that the choice depends on.
+type Picture struct {
+	Machines []*Machine
+	Jobs     []*Job
+	Teams    map[string]*Team
+	Types    []wire.MachineType
+	Refused  map[Offer]bool // offers that the cloud refused a while ago
+	Idle     time.Duration  // after which an idle machine is returned
+	Tasks    int            // that may be launched in this round
+}
+
+// Launch places a task. Launches of a gang come together.
+type Launch struct {
+	Job     *Job
+	Index   int
+	Machine string
+}
+
+// Stop ends a task to make room.
+type Stop struct {
+	Job     *Job
+	Index   int
+	Machine string
+	Why     string
+}
+
+// Rent asks for machines.
+type Rent struct {
+	Offer
+	Count int
+}
+
+// Plan is what to do.
+type Plan struct {
+	Launches []Launch
+	Stops    []Stop
+	Rents    []Rent
+	Releases []string
+}
+
+// planner carries a plan in the making.
+type planner struct {
+	*Picture
+	plan  Plan
+	types map[string]*wire.MachineType
+	fresh []*Machine // hypothetical machines that would be rented
+}
+
+// Choose makes the plan for a picture, whose machines and teams it changes.
+func Choose(p *Picture) Plan {
+	pl := &planner{Picture: p, types: make(map[string]*wire.MachineType)}
+	for i := range p.Types {
+		pl.types[p.Types[i].Name] = &p.Types[i]
+	}
+	pl.order()
+	for _, j := range p.Jobs {
+		if len(j.Waiting) == 0 || j.Ending {
+			continue
+		}
+		if j.Shape == wire.Gang {
+			pl.gang(j)
+		} else {
+			pl.single(j)
+		}
+	}
+	pl.rent()
+	pl.release()
+	return pl.plan
+}
+
+// order sorts the jobs: production first, then what a team is guaranteed, then
+// priority, then age.
+func (pl *planner) order() {
+	slices.SortFunc(pl.Jobs, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
+	sum := make(map[string]Amount)
+	for _, j := range pl.Jobs {
+		t := pl.Teams[j.Team]
+		if t == nil {
+			continue
+		}
+		sum[j.Team] = sum[j.Team].Plus(Of(j.Job), float64(len(j.Waiting)+j.Active))
+		s := sum[j.Team]
+		j.guaranteed = t.CPUs+t.GPUs > 0 && (t.CPUs == 0 || s.CPUs <= t.CPUs) && (t.GPUs == 0 || s.GPUs <= t.GPUs)
+	}
+	class := func(j *Job) int {
+		switch {
+		case j.Priority == wire.Production:
+			return 0
+		case j.guaranteed:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(pl.Jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.Order, b.Order))
+	})
+}
+
+// allowed reports whether a job's tasks may ever be on such a machine.
+func (pl *planner) allowed(j *Job, typ, zone string, spot bool) bool {
+	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
+}
+
+// zoneOpen reports whether one more task of a job may be in a zone, given
+// where its tasks are, old attempts included.
+func zoneOpen(j *Job, in map[string]int, zone string) bool {
+	if j.OneZone {
+		for z, n := range in {
+			if n > 0 && z != zone {
+				return false
+			}
+		}
+	}
+	return !j.Spread || in[zone] < (j.Tasks+1)/2
+}
+
+// single places the tasks of an array or a service one by one.
+func (pl *planner) single(j *Job) {
+	team, need := pl.Teams[j.Team], Of(j.Job)
+	waiting := j.Waiting
+	for len(waiting) > 0 && pl.Tasks > 0 {
+		if team == nil || !team.allows(need) {
+			return
+		}
+		m := pl.companion(j, need, j.InZone)
+		if m == nil {
+			break
+		}
+		pl.launch(j, waiting[0], m)
+		team.use(need)
+		waiting = waiting[1:]
+	}
+	for range waiting {
+		if !team.allows(need) {
+			return
+		}
+		zone, found := pl.await(j, need, j.InZone)
+		if !found {
+			return
+		}
+		team.use(need)
+		j.InZone[zone]++
+	}
+}
+
+func (pl *planner) launch(j *Job, index int, m *Machine) {
+	pl.plan.Launches = append(pl.plan.Launches, Launch{j, index, m.ID})
+	pl.Tasks--
+	pl.occupy(j, m)
+	j.InZone[m.Zone]++
+}
+
+func (pl *planner) occupy(j *Job, m *Machine) {
+	m.Free = m.Free.Plus(Of(j.Job), -1)
+	m.taken = true
+	if m.Images == nil {
+		m.Images = make(map[string]bool)
+	}
+	m.Images[j.Image] = true
+}
+
+// companion picks the machine for a task: one that holds the image or fetches
+// it, else the roomiest of a zone. Among holders the fullest is taken, and the
+// zone is the one that is left with the least torn space.
+func (pl *planner) companion(j *Job, need Amount, in map[string]int) *Machine {
+	var holder *Machine
+	roomiest := make(map[string]*Machine)
+	for _, m := range pl.Machines {
+		if !m.Usable || j.Avoid[m.ID] || !m.Free.Fits(need) || !pl.allowed(j, m.Type, m.Zone, m.Spot) || !zoneOpen(j, in, m.Zone) {
+			continue
+		}
+		if m.Images[j.Image] && (holder == nil || fuller(j, m, holder)) {
+			holder = m
+		}
+		if r := roomiest[m.Zone]; r == nil || fuller(j, r, m) {
+			roomiest[m.Zone] = m
+		}
+	}
+	if holder != nil {
+		return holder
+	}
+	var best *Machine
+	for _, zone := range slices.Sorted(maps.Keys(roomiest)) {
+		m := roomiest[zone]
+		if best == nil || in[zone] < in[best.Zone] && j.Spread || in[zone] == in[best.Zone] && fuller(j, m, best) {
+			best = m
+		}
+	}
+	return best
+}
+
+// fuller reports whether a is the better of two machines for keeping others
+// free: cheap ones first where the job may, then the one with less room.
+func fuller(j *Job, a, b *Machine) bool {
+	if j.Spot && a.Spot != b.Spot {
+		return a.Spot
+	}
+	return cmp.Or(cmp.Compare(a.Free.GPUs, b.Free.GPUs), cmp.Compare(a.Free.CPUs, b.Free.CPUs), cmp.Compare(a.ID, b.ID)) < 0
+}
+
+// gang places all waiting tasks of a gang, or none.
+func (pl *planner) gang(j *Job) {
+	team, need := pl.Teams[j.Team], Of(j.Job)
+	whole := Amount{}.Plus(need, float64(len(j.Waiting)))
+	if team == nil || !team.allows(whole) || j.Active > 0 {
+		return
+	}
+	if pl.Tasks >= len(j.Waiting) {
+		if picks := pl.together(j, need, pl.companion); picks != nil {
+			for i, m := range picks {
+				pl.plan.Launches = append(pl.plan.Launches, Launch{j, j.Waiting[i], m.ID})
+				j.InZone[m.Zone]++
+			}
+			pl.Tasks -= len(picks)
+			team.use(whole)
+			return
+		}
+	}
+	// Not now: hold room for it on what stops, boots or is to be rented.
+	if pl.together(j, need, pl.next) != nil {
+		team.use(whole)
+	}
+}
+
+// together finds machines for all waiting tasks of a gang and occupies them,
+// or leaves everything as it was.
+func (pl *planner) together(j *Job, need Amount, pick func(*Job, Amount, map[string]int) *Machine) []*Machine {
+	zones := []string{j.Zone}
+	if j.Zone == "" && j.OneZone && len(j.Waiting) > 1 {
+		zones = pl.zones()
+	}
+	for _, zone := range zones {
+		in := maps.Clone(j.InZone)
+		saved, fresh, stops := pl.save(), len(pl.fresh), len(pl.plan.Stops)
+		was := j.Zone
+		j.Zone = zone
+		var picks []*Machine
+		for range j.Waiting {
+			m := pick(j, need, in)
+			if m == nil {
+				break
+			}
+			pl.occupy(j, m)
+			in[m.Zone]++
+			picks = append(picks, m)
+		}
+		j.Zone = was
+		if len(picks) == len(j.Waiting) {
+			return picks
+		}
+		pl.restore(saved)
+		pl.fresh, pl.plan.Stops = pl.fresh[:fresh], pl.plan.Stops[:stops]
+	}
+	return nil
+}
+
+func (pl *planner) zones() []string {
+	set := make(map[string]bool)
+	for _, t := range pl.Types {
+		for _, z := range t.Zones {
+			set[z] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// save and restore keep the room of all machines around a try.
+func (pl *planner) save() []Machine {
+	var out []Machine
+	for _, m := range append(slices.Clone(pl.Machines), pl.fresh...) {
+		c := *m
+		c.Images, c.Tasks = maps.Clone(m.Images), slices.Clone(m.Tasks)
+		out = append(out, c)
+	}
+	return out
+}
+
+func (pl *planner) restore(saved []Machine) {
+	for i, m := range append(slices.Clone(pl.Machines), pl.fresh...) {
+		if i < len(saved) {
+			*m = saved[i]
+		}
+	}
+}
+
+// await reserves room for a task that can't be placed now.
+func (pl *planner) await(j *Job, need Amount, in map[string]int) (zone string, found bool) {
+	m := pl.next(j, need, in)
+	if m == nil {
+		return "", false
+	}
+	pl.occupy(j, m)
+	return m.Zone, true
+}
+
+// next finds where room will be soonest: where tasks are stopping already,
+// where lesser work can be stopped, on a machine that boots, or on a new one.
+func (pl *planner) next(j *Job, need Amount, in map[string]int) *Machine {
+	ok := func(m *Machine) bool {
+		return !j.Avoid[m.ID] && pl.allowed(j, m.Type, m.Zone, m.Spot) && zoneOpen(j, in, m.Zone)
+	}
+	for _, m := range pl.Machines {
+		if m.Usable && ok(m) && m.Free.Plus(stopping(m), 1).Fits(need) {
+			return m
+		}
+	}
+	if m := pl.preempt(j, need, ok); m != nil {
+		return m
+	}
+	for _, m := range slices.Concat(pl.Machines, pl.fresh) {
+		if m.Booting && ok(m) && m.Free.Fits(need) {
+			return m
+		}
+	}
+	return pl.newMachine(j, need, in)
+}
+
+// stopping is the room that tasks which are being stopped will leave.
+func stopping(m *Machine) Amount {
+	var sum Amount
+	for _, t := range m.Tasks {
+		if t.Stopping {
+			sum = sum.Plus(Of(t.Job.Job), 1)
+		}
+	}
+	return sum
+}
+
+// mayPreempt reports whether the protocol lets a job stop another's task:
+// lesser priority, or work beyond a team's own guarantee for one within it.
+func (pl *planner) mayPreempt(j, victim *Job) bool {
+	if victim.Priority.Rank() < j.Priority.Rank() {
+		return true
+	}
+	t := pl.Teams[victim.Team]
+	return j.guaranteed && victim.Team != j.Team && victim.Shape != wire.Service && t != nil &&
+		(t.GPUs > 0 && t.UsedGPUs-victim.GPUs >= t.GPUs || t.GPUs == 0 && t.CPUs == 0)
+}
+
+// preempt stops the work that loses least on one machine, so that a task fits.
+func (pl *planner) preempt(j *Job, need Amount, ok func(*Machine) bool) *Machine {
+	var best *Machine
+	var victims []int
+	cost := math.Inf(1)
+	for _, m := range pl.Machines {
+		if !m.Usable || !ok(m) {
+			continue
+		}
+		v, c := pl.victims(j, need, m)
+		if v != nil && c < cost {
+			best, victims, cost = m, v, c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	for _, i := range victims {
+		t := &best.Tasks[i]
+		t.Stopping = true
+		pl.plan.Stops = append(pl.plan.Stops, Stop{t.Job, t.Index, best.ID, "room for " + j.ID})
+	}
+	return best
+}
+
+func (pl *planner) victims(j *Job, need Amount, m *Machine) (picked []int, cost float64) {
+	room := m.Free.Plus(stopping(m), 1)
+	order := make([]int, 0, len(m.Tasks))
+	for i, t := range m.Tasks {
+		if !t.Stopping && pl.mayPreempt(j, t.Job) {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(loss(m.Tasks[a]), loss(m.Tasks[b])) })
+	for _, i := range order {
+		if room.Fits(need) {
+			break
+		}
+		room = room.Plus(Of(m.Tasks[i].Job.Job), 1)
+		picked = append(picked, i)
+		cost += loss(m.Tasks[i])
+	}
+	if !room.Fits(need) {
+		return nil, 0
+	}
+	return picked, cost
+}
+
+// loss is what stopping a task wastes, in seconds of GPUs and CPUs.
+func loss(t Task) float64 {
+	lost := t.Ran.Seconds()
+	if t.Job.CheckpointS > 0 {
+		lost = min(lost, t.Job.SaveS)
+	}
+	return (lost + 5) * (t.Job.GPUs + t.Job.CPUs/16) * float64(max(1, t.Job.Active))
+}
+
+// newMachine adds a hypothetical machine: the cheapest offer for the task,
+// counting the price of the share that the job can fill.
+func (pl *planner) newMachine(j *Job, need Amount, in map[string]int) *Machine {
+	var best *Machine
+	price := math.Inf(1)
+	count := make(map[string]int)
+	for _, m := range slices.Concat(pl.Machines, pl.fresh) {
+		count[m.Zone]++
+	}
+	for i := range pl.Types {
+		t := &pl.Types[i]
+		size := Amount{t.CPUs, t.GPUs, t.MemoryGB}
+		slots := min(size.Slots(need), len(j.Waiting))
+		if slots == 0 {
+			continue
+		}
+		for _, spot := range []bool{true, false} {
+			for _, zone := range t.Zones {
+				if pl.Refused[Offer{t.Name, zone, spot}] || !pl.allowed(j, t.Name, zone, spot) || !zoneOpen(j, in, zone) {
+					continue
+				}
+				p := t.Price
+				if spot {
+					p = t.SpotPrice
+				}
+				// The share of the machine that the job leaves empty is mostly
+				// of use to others: count half of it.
+				full := float64(size.Slots(need))
+				p = p/full + 0.5*(p/float64(slots)-p/full)
+				p *= 1 + 0.01*float64(count[zone]) // spread over zones
+				if p < price {
+					price = p
+					best = &Machine{Type: t.Name, Zone: zone, Spot: spot, Booting: true, Free: size}
+				}
+			}
+		}
+	}
+	if best != nil {
+		pl.fresh = append(pl.fresh, best)
+	}
+	return best
+}
+
+func (pl *planner) rent() {
+	counts := make(map[Offer]int)
+	var order []Offer
+	for _, m := range pl.fresh {
+		o := Offer{m.Type, m.Zone, m.Spot}
+		if counts[o] == 0 {
+			order = append(order, o)
+		}
+		counts[o]++
+	}
+	for _, o := range order {
+		pl.plan.Rents = append(pl.plan.Rents, Rent{o, counts[o]})
+	}
+}
+
+// release returns machines that have been idle for long.
+func (pl *planner) release() {
+	for _, m := range pl.Machines {
+		if !m.taken && m.Usable && len(m.Tasks) == 0 && m.Idle > pl.Idle {
+			pl.plan.Releases = append(pl.plan.Releases, m.ID)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,208 @@
+// Package store works with the state service: its calls under the fleet's
+// limits, the records that amberdeal keeps there, and a view that follows them.
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"amberdeal.example/amberdeal/internal/httpwire"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// What can become of a call.
+var (
+	// ErrRefused means that the call was not executed and never will be.
+	ErrRefused = errors.New("state service refused the call")
+	// ErrUnknown means that the call may have been executed, or may still be.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrNoLease means that the lease has ended.
+	ErrNoLease = errors.New("no such lease")
+	// ErrTooOld means that a watch begins before what the service remembers.
+	ErrTooOld = errors.New("revision too old")
+)
+
+// ConflictError names the keys whose versions were not as demanded.
+type ConflictError struct{ Failed []string }
+
+func (e *ConflictError) Error() string { return fmt.Sprintf("conflict on %q", e.Failed) }
+
+// Client calls the state service. Each controller takes its share of the
+// limits, which hold for all controllers together; no share is borrowed from a
+// sibling that seems idle.
+type Client struct {
+	addr   string
+	caller *transport.Caller
+	reads  *rate.Limiter
+	writes *rate.Limiter
+	log    *slog.Logger
+}
+
+// NewClient gives a client that keeps to one of so many shares of the limits.
+func NewClient(addr string, rps, writeRPS float64, shares int, log *slog.Logger) *Client {
+	share := func(r float64) *rate.Limiter {
+		r /= float64(shares)
+		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
+	}
+	return &Client{addr: addr, caller: &transport.Caller{Limit: 32 << 20}, reads: share(rps), writes: share(writeRPS), log: log}
+}
+
+// patience bounds an ordinary call; answers mostly come within 10 ms.
+const patience = 1500 * time.Millisecond
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration) (*httpwire.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	resp, err := c.caller.Call(ctx, c.addr, method, path, body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if resp.Status == 429 || resp.Status == 503 {
+		return nil, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	}
+	return resp, nil
+}
+
+// decode reads an answer; a malformed one counts as none.
+func decode(resp *httpwire.Response, v any) error {
+	if err := wire.Decode(resp.Body, v); err != nil {
+		return fmt.Errorf("%w: malformed answer, status %d: %w", ErrUnknown, resp.Status, err)
+	}
+	return nil
+}
+
+// Txn commits a transaction and gives its revision. What came of it is in the
+// error: *ConflictError, ErrNoLease, ErrRefused or ErrUnknown.
+func (c *Client) Txn(ctx context.Context, t wire.Txn) (uint64, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	if n := min(len(t.Then), c.writes.Burst()); n > 0 {
+		if err := c.writes.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		if rest := len(t.Then) - n; rest > 0 { // more than a burst: owe the rest
+			c.writes.ReserveN(time.Now(), min(rest, c.writes.Burst()))
+		}
+	}
+	if t.If == nil {
+		t.If = []wire.Condition{}
+	}
+	if t.Then == nil {
+		t.Then = []wire.Change{}
+	}
+	resp, err := c.call(ctx, "POST", wire.PathTxn, wire.Encode(t), patience)
+	if err != nil {
+		return 0, err
+	}
+	var r wire.TxnResult
+	switch resp.Status {
+	case 200:
+		err := decode(resp, &r)
+		return r.Revision, err
+	case 409:
+		if err := decode(resp, &r); err != nil {
+			return 0, err
+		}
+		return 0, &ConflictError{r.Failed}
+	case 400:
+		var f wire.Failure
+		_ = decode(resp, &f)
+		if f.Error == ErrNoLease.Error() {
+			return 0, ErrNoLease
+		}
+		c.log.Error("state service calls a transaction malformed", "error", f.Error, "changes", len(t.Then), "conditions", len(t.If))
+		return 0, fmt.Errorf("%w: %s", ErrRefused, f.Error)
+	}
+	return 0, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+}
+
+// List reads a page of keys.
+func (c *Client) List(ctx context.Context, prefix, after string) (*wire.ItemList, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	resp, err := c.call(ctx, "GET", wire.KeysPath(prefix, after, 1000), nil, 4*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	var l wire.ItemList
+	if resp.Status != 200 {
+		return nil, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+	}
+	return &l, decode(resp, &l)
+}
+
+// Changes waits for changes after a revision, at most for wait.
+func (c *Client) Changes(ctx context.Context, prefix string, from uint64, wait time.Duration) (*wire.Changes, error) {
+	if err := c.reads.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	resp, err := c.call(ctx, "GET", wire.ChangesPath(prefix, from, wait), nil, wait+patience)
+	if err != nil {
+		return nil, err
+	}
+	switch resp.Status {
+	case 200:
+		var ch wire.Changes
+		return &ch, decode(resp, &ch)
+	case 410:
+		return nil, ErrTooOld
+	}
+	return nil, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+}
+
+// Grant takes a new lease. Lease calls go before all others: they are charged
+// to the share but never wait for it.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	c.reads.Reserve()
+	resp, err := c.call(ctx, "POST", wire.PathLeases, wire.Encode(wire.LeaseGrant{TTLms: ttl.Milliseconds()}), patience)
+	if err != nil {
+		return 0, err
+	}
+	var id wire.LeaseID
+	if resp.Status != 200 {
+		return 0, fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+	}
+	return id.Lease, decode(resp, &id)
+}
+
+// Renew gives a lease its full time again.
+func (c *Client) Renew(ctx context.Context, lease uint64) error {
+	c.reads.Reserve()
+	resp, err := c.call(ctx, "POST", wire.RenewPath(lease), nil, patience)
+	switch {
+	case err != nil:
+		return err
+	case resp.Status == 404:
+		return ErrNoLease
+	case resp.Status != 200:
+		return fmt.Errorf("%w: status %d", ErrUnknown, resp.Status)
+	}
+	return nil
+}
+
+// End ends a lease at once.
+func (c *Client) End(ctx context.Context, lease uint64) error {
+	c.reads.Reserve()
+	_, err := c.call(ctx, "DELETE", wire.LeasePath(lease), nil, patience)
+	return err
+}
+
+// Pause is a jittered back-off after a call that failed.
+func Pause(ctx context.Context, d time.Duration) {
+	d = d/2 + time.Duration(rand.Int64N(int64(d)))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/store/follow.go
@@ -0,0 +1,167 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// watchGap is the least time between two watches: each counts as a request,
+// and one brings all changes since the last.
+const watchGap = 150 * time.Millisecond
+
+// Follower keeps a View up to date and makes read barriers.
+type Follower struct {
+	client *Client
+	view   *View
+	log    *slog.Logger
+
+	mu      sync.Mutex
+	next    *barrier
+	wake    chan struct{}
+	reached time.Time
+	failed  time.Time
+}
+
+type barrier struct {
+	done chan struct{}
+	err  error
+}
+
+// NewFollower gives a follower of the client's store.
+func NewFollower(c *Client, v *View, log *slog.Logger) *Follower {
+	return &Follower{client: c, view: v, log: log, wake: make(chan struct{}, 1)}
+}
+
+// note remembers when the store was last reached, and when it last was not.
+func (f *Follower) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || errors.Is(err, ErrTooOld) {
+		f.reached = time.Now()
+	} else {
+		f.failed = time.Now()
+	}
+}
+
+// Reached tells when the store last answered, and whether a later call failed.
+func (f *Follower) Reached() (at time.Time, failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reached, f.failed.After(f.reached)
+}
+
+// Run lists and watches until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.list(ctx); err != nil {
+			f.note(err)
+			f.log.Debug("listing the store failed", "error", err)
+			Pause(ctx, 300*time.Millisecond)
+			continue
+		}
+		f.watch(ctx)
+	}
+	return nil
+}
+
+func (f *Follower) list(ctx context.Context) error {
+	var items []wire.Item
+	var first uint64
+	for after := ""; ; {
+		page, err := f.client.List(ctx, Root, after)
+		if err != nil {
+			return err
+		}
+		if after == "" {
+			first = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	f.note(nil)
+	f.view.Load(items, first)
+	f.log.Info("view loaded", "keys", len(items), "revision", first)
+	return nil
+}
+
+// watch follows the changes until the list must be read again.
+func (f *Follower) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := time.Now()
+		ch, err := f.client.Changes(ctx, Root, f.view.Revision(), 8*time.Second)
+		f.note(err)
+		switch {
+		case err == nil:
+			f.view.Apply(ch)
+			if gap := watchGap - time.Since(begun); gap > 0 {
+				Pause(ctx, gap)
+			}
+		case errors.Is(err, ErrTooOld):
+			return
+		default:
+			Pause(ctx, 400*time.Millisecond)
+		}
+	}
+}
+
+// RunBarriers makes the barriers that are asked for, one at a time.
+func (f *Follower) RunBarriers(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-f.wake:
+		}
+		f.mu.Lock()
+		b := f.next
+		f.next = nil
+		f.mu.Unlock()
+		if b == nil {
+			continue
+		}
+		b.err = f.cross(ctx)
+		close(b.done)
+	}
+}
+
+func (f *Follower) cross(ctx context.Context) error {
+	if !f.view.Loaded() {
+		return ErrRefused
+	}
+	ch, err := f.client.Changes(ctx, Root, f.view.Revision(), 0)
+	f.note(err)
+	if err == nil {
+		f.view.Apply(ch)
+	}
+	return err
+}
+
+// Barrier returns once the view holds everything that was in the store when
+// Barrier was called. All who wait share one cheap read.
+func (f *Follower) Barrier(ctx context.Context) error {
+	f.mu.Lock()
+	b := f.next
+	if b == nil {
+		b = &barrier{done: make(chan struct{})}
+		f.next = b
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+	f.mu.Unlock()
+	select {
+	case <-b.done:
+		return b.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/transport/call.go
@@ -0,0 +1,123 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/httpwire"
+)
+
+// maxIdle bounds the connections to one address that are kept for reuse.
+const maxIdle = 4
+
+// idleLife is how long an unused connection is kept.
+const idleLife = 30 * time.Second
+
+// Caller makes calls out. Every call has a deadline and reuses connections; a
+// silent peer costs a time-out only to its own callers.
+type Caller struct {
+	Limit int64 // of an answer's body
+
+	mu   sync.Mutex
+	idle map[string][]*outConn
+}
+
+type outConn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time
+}
+
+// Call sends a request and waits for its answer until the context ends. An
+// error leaves open whether the peer has executed the request.
+func (c *Caller) Call(ctx context.Context, addr, method, target string, body []byte) (*httpwire.Response, error) {
+	conn, reused, err := c.take(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.exchange(ctx, conn, addr, method, target, body)
+	if err != nil && reused && method == "GET" && ctx.Err() == nil {
+		// The peer may have closed the kept connection; a read can be repeated.
+		if conn, err = c.dial(ctx, addr); err == nil {
+			resp, err = c.exchange(ctx, conn, addr, method, target, body)
+		}
+	}
+	return resp, err
+}
+
+func (c *Caller) exchange(ctx context.Context, conn *outConn, addr, method, target string, body []byte) (*httpwire.Response, error) {
+	if d, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(d)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := conn.Write(httpwire.AppendRequest(nil, addr, method, target, body)); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	resp, err := httpwire.ReadResponse(conn.r, c.Limit)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if resp.Close || !stop() {
+		conn.Close()
+	} else {
+		c.give(addr, conn)
+	}
+	return resp, nil
+}
+
+func (c *Caller) take(ctx context.Context, addr string) (*outConn, bool, error) {
+	c.mu.Lock()
+	for n := len(c.idle[addr]); n > 0; n-- {
+		conn := c.idle[addr][n-1]
+		c.idle[addr] = c.idle[addr][:n-1]
+		if time.Since(conn.since) < idleLife {
+			c.mu.Unlock()
+			return conn, true, nil
+		}
+		conn.Close()
+	}
+	c.mu.Unlock()
+	conn, err := c.dial(ctx, addr)
+	return conn, false, err
+}
+
+func (c *Caller) dial(ctx context.Context, addr string) (*outConn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &outConn{Conn: conn, r: bufio.NewReaderSize(conn, 4<<10)}, nil
+}
+
+func (c *Caller) give(addr string, conn *outConn) {
+	_ = conn.SetDeadline(time.Time{})
+	conn.since = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = make(map[string][]*outConn)
+	}
+	if len(c.idle[addr]) >= maxIdle {
+		conn.Close()
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], conn)
+}
+
+// Forget closes the connections kept to an address, such as that of a machine
+// that is gone.
+func (c *Caller) Forget(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.idle[addr] {
+		conn.Close()
+	}
+	delete(c.idle, addr)
+}
--- /dev/null
+++ b/internal/transport/listen.go
@@ -0,0 +1,239 @@
+// Package transport moves bytes: listeners and connections on gnet's event
+// loop, a goroutine for each connection, and calls out with deadlines.
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+
+	"amberdeal.example/amberdeal/internal/httpwire"
+)
+
+// maxPending bounds the bytes of a connection that wait for its goroutine.
+const maxPending = 128 << 10
+
+// Conn is an accepted connection: gnet's loop fills it, its goroutine reads
+// and writes it.
+type Conn struct {
+	conn    gnet.Conn
+	mu      sync.Mutex
+	pending []byte
+	closed  bool
+	wake    chan struct{}
+	// ReadTimeout bounds one Read; 0 means none.
+	ReadTimeout time.Duration
+}
+
+// Read waits for bytes of the peer.
+func (c *Conn) Read(p []byte) (int, error) {
+	var expired <-chan time.Time
+	for {
+		c.mu.Lock()
+		if len(c.pending) > 0 {
+			n := copy(p, c.pending)
+			c.pending = c.pending[n:]
+			if len(c.pending) == 0 {
+				c.pending = nil
+			}
+			c.mu.Unlock()
+			return n, nil
+		}
+		closed := c.closed
+		c.mu.Unlock()
+		if closed {
+			return 0, io.EOF
+		}
+		if expired == nil && c.ReadTimeout > 0 {
+			t := time.NewTimer(c.ReadTimeout)
+			defer t.Stop()
+			expired = t.C
+		}
+		select {
+		case <-c.wake:
+		case <-expired:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// Write hands bytes to the loop.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		return 0, io.ErrClosedPipe
+	}
+	if err := c.conn.AsyncWrite(append([]byte(nil), p...), nil); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// Close ends the connection after what was written.
+func (c *Conn) Close() error { return c.conn.Close() }
+
+func (c *Conn) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// feed takes bytes from the loop; false means that the peer sent too much.
+func (c *Conn) feed(b []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending)+len(b) > maxPending {
+		return false
+	}
+	c.pending = append(c.pending, b...)
+	c.signal()
+	return true
+}
+
+func (c *Conn) end() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.signal()
+}
+
+// ServeConn is run in a goroutine for each accepted connection.
+type ServeConn func(ctx context.Context, c *Conn)
+
+// Server listens on one address.
+type Server struct {
+	gnet.BuiltinEventEngine
+	Addr     string
+	MaxConns int
+	Serve    ServeConn
+	Log      *slog.Logger
+
+	ctx    context.Context
+	engine gnet.Engine
+	booted atomic.Bool
+	open   atomic.Int64
+	group  sync.WaitGroup
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	s.ctx = ctx
+	done := make(chan error, 1)
+	go func() {
+		done <- gnet.Run(s, "tcp://"+s.Addr, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(16<<10), gnet.WithWriteBufferCap(64<<10),
+			gnet.WithLogger(quiet{s.Log}), gnet.WithLogLevel(logging.ErrorLevel))
+	}()
+	select {
+	case err := <-done:
+		if err == nil {
+			err = errors.New("listener ended")
+		}
+		return err
+	case <-ctx.Done():
+	}
+	if s.booted.Load() {
+		stop, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		_ = s.engine.Stop(stop)
+	}
+	s.group.Wait()
+	return nil
+}
+
+// OnBoot is called by gnet.
+func (s *Server) OnBoot(e gnet.Engine) gnet.Action {
+	s.engine = e
+	s.booted.Store(true)
+	return gnet.None
+}
+
+// OnOpen is called by gnet for each new connection.
+func (s *Server) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
+	if s.open.Add(1) > int64(s.MaxConns) {
+		s.Log.Warn("connection refused: too many are open", "addr", s.Addr, "limit", s.MaxConns)
+		return nil, gnet.Close
+	}
+	c := &Conn{conn: g, wake: make(chan struct{}, 1)}
+	g.SetContext(c)
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		defer c.Close()
+		s.Serve(s.ctx, c)
+	}()
+	return nil, gnet.None
+}
+
+// OnClose is called by gnet when a connection is gone.
+func (s *Server) OnClose(g gnet.Conn, _ error) gnet.Action {
+	s.open.Add(-1)
+	if c, ok := g.Context().(*Conn); ok {
+		c.end()
+	}
+	return gnet.None
+}
+
+// OnTraffic is called by gnet when bytes have come.
+func (s *Server) OnTraffic(g gnet.Conn) gnet.Action {
+	c, ok := g.Context().(*Conn)
+	if !ok {
+		return gnet.Close
+	}
+	b, _ := g.Next(-1)
+	if !c.feed(b) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// quiet keeps gnet's own words in our log.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Debugf(string, ...any)     {}
+func (q quiet) Infof(string, ...any)      {}
+func (q quiet) Warnf(f string, a ...any)  { q.log.Debug("gnet", "warn", f, "args", a) }
+func (q quiet) Errorf(f string, a ...any) { q.log.Debug("gnet", "error", f, "args", a) }
+func (q quiet) Fatalf(f string, a ...any) { q.log.Error("gnet", "fatal", f, "args", a) }
+
+// Handler answers one request.
+type Handler func(ctx context.Context, r *httpwire.Request) *httpwire.Response
+
+// HTTP serves requests, one after the other, on a connection. A peer that is
+// idle, slow or silent for longer than idle is closed.
+func HTTP(limit int64, idle time.Duration, h Handler) ServeConn {
+	return func(ctx context.Context, c *Conn) {
+		c.ReadTimeout = idle
+		stop := context.AfterFunc(ctx, func() { c.Close() })
+		defer stop()
+		r := bufio.NewReaderSize(c, 4<<10)
+		for {
+			req, err := httpwire.ReadRequest(r, limit)
+			var fault *httpwire.Error
+			switch {
+			case errors.As(err, &fault):
+				_, _ = c.Write(httpwire.AppendResponse(nil, &httpwire.Response{Status: fault.Status, Close: true}))
+				return
+			case err != nil:
+				return
+			}
+			resp := h(ctx, req)
+			resp.Close = resp.Close || req.Close
+			if _, err := c.Write(httpwire.AppendResponse(nil, resp)); err != nil || resp.Close {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,65 @@
+// Package wire holds the CBOR formats of every interface of amberdeal: users,
+// workers, the cloud and the state service. It is the only place where the
+// names used on the wire appear; the Go names are the terms of the field.
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxBody bounds a request body, and an answer to a worker or a user.
+const MaxBody = 64 << 10
+
+var (
+	decoder = must(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 17,
+		IndefLength:      cbor.IndefLengthAllowed,
+	}.DecMode())
+	encoder = must(cbor.CanonicalEncOptions().EncMode())
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err) // only a wrong constant above can do this
+	}
+	return v
+}
+
+// Raw is a value that is passed on undecoded.
+type Raw = cbor.RawMessage
+
+// Encode gives the CBOR form of v. The formats of this package always encode.
+func Encode(v any) []byte {
+	return must(encoder.Marshal(v))
+}
+
+// Decode reads the CBOR value in body into v. Anything but one whole map is
+// refused, because every message of the protocols is a map.
+func Decode(body []byte, v any) error {
+	if len(body) == 0 || body[0]>>5 != 5 {
+		return errors.New("not a CBOR map")
+	}
+	return decoder.Unmarshal(body, v)
+}
+
+// DecodeValue reads any CBOR value, such as a stored one, into v.
+func DecodeValue(body []byte, v any) error { return decoder.Unmarshal(body, v) }
+
+// amount reports whether a decimal number of the wire is one that can be
+// reckoned with.
+func amount(name string, v *float64) error {
+	switch {
+	case v == nil:
+		return fmt.Errorf("field %s: missing", name)
+	case math.IsNaN(*v) || math.IsInf(*v, 0) || *v < 0 || *v > 1e9:
+		return fmt.Errorf("field %s: %v is not an amount from 0 to 1e9", name, *v)
+	}
+	return nil
+}
--- /dev/null
+++ b/wire/store.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Paths of the state service.
+const (
+	PathKeys    = "/keys"
+	PathTxn     = "/multi"
+	PathLeases  = "/holds"
+	PathChanges = "/changes"
+	RenewWord   = "touch"
+)
+
+// Item is a key of the state service with its value and version.
+type Item struct {
+	Key     string `cbor:"path"`
+	Value   Raw    `cbor:"data"`
+	Version uint64 `cbor:"mark"`
+	Lease   uint64 `cbor:"tenure"`
+}
+
+// ItemList is a page of keys.
+type ItemList struct {
+	Items    []Item `cbor:"items"`
+	More     bool   `cbor:"more"`
+	Revision uint64 `cbor:"era"`
+}
+
+// Condition demands that a key has a version; 0 means that it does not exist.
+type Condition struct {
+	Key     string `cbor:"path"`
+	Version uint64 `cbor:"mark"`
+}
+
+// Change is one put or delete of a transaction.
+type Change struct {
+	Put    string `cbor:"put,omitempty"`
+	Value  any    `cbor:"data,omitempty"`
+	Lease  uint64 `cbor:"tenure,omitempty"`
+	Delete string `cbor:"drop,omitempty"`
+}
+
+// Txn is a conditional transaction.
+type Txn struct {
+	If   []Condition `cbor:"when"`
+	Then []Change    `cbor:"then"`
+}
+
+// TxnResult is the answer to a transaction.
+type TxnResult struct {
+	Failed   []string `cbor:"failed"`
+	Revision uint64   `cbor:"era"`
+}
+
+// Event is one change in the log of the state service.
+type Event struct {
+	Put     string `cbor:"put"`
+	Value   Raw    `cbor:"data"`
+	Delete  string `cbor:"drop"`
+	Version uint64 `cbor:"mark"`
+}
+
+// Changes is the answer to a watch.
+type Changes struct {
+	Revision uint64  `cbor:"era"`
+	Events   []Event `cbor:"log"`
+}
+
+// LeaseGrant asks for a lease.
+type LeaseGrant struct {
+	TTLms int64 `cbor:"ttl_ms"`
+}
+
+// LeaseID answers a grant.
+type LeaseID struct {
+	Lease uint64 `cbor:"tenure"`
+}
+
+// KeyPath is the path of one key.
+func KeyPath(key string) string { return PathKeys + "/" + key }
+
+// KeysPath is the path of a page of keys.
+func KeysPath(prefix, after string, limit int) string {
+	p := PathKeys + "?prefix=" + url.QueryEscape(prefix) + "&limit=" + strconv.Itoa(limit)
+	if after != "" {
+		p += "&from=" + url.QueryEscape(after)
+	}
+	return p
+}
+
+// ChangesPath is the path of a watch.
+func ChangesPath(prefix string, from uint64, wait time.Duration) string {
+	return PathChanges + "?prefix=" + url.QueryEscape(prefix) + "&from=" + strconv.FormatUint(from, 10) +
+		"&block_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+}
+
+// LeasePath is the path of a lease, for ending it.
+func LeasePath(id uint64) string { return PathLeases + "/" + strconv.FormatUint(id, 10) }
+
+// RenewPath is the path that renews a lease.
+func RenewPath(id uint64) string { return LeasePath(id) + "/" + RenewWord }
--- /dev/null
+++ b/wire/user.go
@@ -0,0 +1,216 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Paths of the users' interface.
+const (
+	PathJobs   = "/v2/runs"
+	PathReady  = "/ready"
+	CancelWord = "abort"
+)
+
+// Shape tells how the tasks of a job hang together.
+type Shape string
+
+// The shapes of jobs.
+const (
+	Array   Shape = "sweep"
+	Gang    Shape = "gang"
+	Service Shape = "service"
+)
+
+// Priority orders jobs; see Rank.
+type Priority string
+
+// The priorities, highest first.
+const (
+	Production Priority = "production"
+	High       Priority = "high"
+	Normal     Priority = "normal"
+	Low        Priority = "low"
+)
+
+// Rank gives the priority as a number, larger first; -1 is none.
+func (p Priority) Rank() int {
+	switch p {
+	case Production:
+		return 3
+	case High:
+		return 2
+	case Normal:
+		return 1
+	case Low:
+		return 0
+	}
+	return -1
+}
+
+// Stage is the state of a job as its user sees it.
+type Stage string
+
+// The stages of a job.
+const (
+	Pending   Stage = "pending"
+	Running   Stage = "running"
+	Done      Stage = "done"
+	Cancelled Stage = "withdrawn"
+)
+
+// Final reports whether the stage never changes again.
+func (s Stage) Final() bool { return s == Done || s == Cancelled }
+
+// MaxTasks is the most tasks that a job may have.
+const MaxTasks = 100_000
+
+// Job is the description of a job, valid once DecodeJob has returned it.
+type Job struct {
+	ID          string   `cbor:"uid"`
+	Class       string   `cbor:"breed"`
+	Team        string   `cbor:"keeper"`
+	Shape       Shape    `cbor:"shape"`
+	Priority    Priority `cbor:"rank"`
+	Tasks       int      `cbor:"cells"`
+	CPUs        float64  `cbor:"vcpus"`
+	GPUs        float64  `cbor:"accelerators"`
+	MemoryGB    float64  `cbor:"mem_gb"`
+	Image       string   `cbor:"comb"`
+	ImageGB     float64  `cbor:"image_gb"`
+	Types       []string `cbor:"frames,omitempty"`
+	Zone        string   `cbor:"apiary,omitempty"`
+	OneZone     bool     `cbor:"one_zone"`
+	Spread      bool     `cbor:"spread"`
+	Spot        bool     `cbor:"borrowed"`
+	EstimateS   float64  `cbor:"expect_s"`
+	CheckpointS float64  `cbor:"capping_s"`
+	SaveS       float64  `cbor:"seal_s"`
+	DeadlineS   float64  `cbor:"due_s,omitempty"`
+}
+
+// Estimate is the owner's guess of a task's run time.
+func (j *Job) Estimate() time.Duration { return Seconds(j.EstimateS) }
+
+// Seconds turns a duration of the wire into the library's type.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// submission mirrors Job with pointers, so that a missing field shows.
+type submission struct {
+	ID          *string   `cbor:"uid"`
+	Class       *string   `cbor:"breed"`
+	Team        *string   `cbor:"keeper"`
+	Shape       *Shape    `cbor:"shape"`
+	Priority    *Priority `cbor:"rank"`
+	Tasks       *int64    `cbor:"cells"`
+	CPUs        *float64  `cbor:"vcpus"`
+	GPUs        *float64  `cbor:"accelerators"`
+	MemoryGB    *float64  `cbor:"mem_gb"`
+	Image       *string   `cbor:"comb"`
+	ImageGB     *float64  `cbor:"image_gb"`
+	Types       *[]string `cbor:"frames"`
+	Zone        *string   `cbor:"apiary"`
+	OneZone     *bool     `cbor:"one_zone"`
+	Spread      *bool     `cbor:"spread"`
+	Spot        *bool     `cbor:"borrowed"`
+	EstimateS   *float64  `cbor:"expect_s"`
+	CheckpointS *float64  `cbor:"capping_s"`
+	SaveS       *float64  `cbor:"seal_s"`
+	DeadlineS   *float64  `cbor:"due_s"`
+}
+
+// DecodeJob reads and checks a submission. The error names the first fields
+// that are missing or invalid.
+func DecodeJob(body []byte) (*Job, error) {
+	var s submission
+	if err := Decode(body, &s); err != nil {
+		return nil, err
+	}
+	errs := []error{
+		textField("uid", s.ID), textField("breed", s.Class), textField("keeper", s.Team), textField("comb", s.Image),
+		amount("vcpus", s.CPUs), amount("accelerators", s.GPUs), amount("mem_gb", s.MemoryGB), amount("image_gb", s.ImageGB),
+		amount("expect_s", s.EstimateS), amount("capping_s", s.CheckpointS), amount("seal_s", s.SaveS),
+		present("one_zone", s.OneZone), present("spread", s.Spread), present("borrowed", s.Spot),
+	}
+	if s.ID != nil && !ValidJobID(*s.ID) {
+		errs = append(errs, fmt.Errorf("field uid: %.40q is not wk- and digits", *s.ID))
+	}
+	if s.Shape == nil || *s.Shape != Array && *s.Shape != Gang && *s.Shape != Service {
+		errs = append(errs, errors.New("field shape: must be sweep, gang or service"))
+	}
+	if s.Priority == nil || s.Priority.Rank() < 0 {
+		errs = append(errs, errors.New("field rank: must be production, high, normal or low"))
+	}
+	if s.Tasks == nil || *s.Tasks < 1 || *s.Tasks > MaxTasks {
+		errs = append(errs, fmt.Errorf("field cells: must be a count from 1 to %d", MaxTasks))
+	}
+	if s.DeadlineS != nil {
+		errs = append(errs, amount("due_s", s.DeadlineS))
+	}
+	if s.Types != nil && len(*s.Types) > 64 {
+		errs = append(errs, errors.New("field frames: more than 64 types"))
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	j := &Job{
+		ID: *s.ID, Class: *s.Class, Team: *s.Team, Shape: *s.Shape, Priority: *s.Priority, Tasks: int(*s.Tasks),
+		CPUs: *s.CPUs, GPUs: *s.GPUs, MemoryGB: *s.MemoryGB, Image: *s.Image, ImageGB: *s.ImageGB,
+		OneZone: *s.OneZone, Spread: *s.Spread, Spot: *s.Spot,
+		EstimateS: *s.EstimateS, CheckpointS: *s.CheckpointS, SaveS: *s.SaveS,
+	}
+	if s.Types != nil {
+		j.Types = *s.Types
+	}
+	if s.Zone != nil {
+		j.Zone = *s.Zone
+	}
+	if s.DeadlineS != nil {
+		j.DeadlineS = *s.DeadlineS
+	}
+	return j, nil
+}
+
+func textField(name string, v *string) error {
+	if v == nil || *v == "" || len(*v) > 200 {
+		return fmt.Errorf("field %s: must be text of 1 to 200 bytes", name)
+	}
+	return nil
+}
+
+func present(name string, v *bool) error {
+	if v == nil {
+		return fmt.Errorf("field %s: missing", name)
+	}
+	return nil
+}
+
+// JobPrefix begins every job id.
+const JobPrefix = "wk-"
+
+// ValidJobID reports whether id has the form that job ids always have.
+func ValidJobID(id string) bool {
+	if len(id) <= len(JobPrefix) || len(id) > 64 || id[:len(JobPrefix)] != JobPrefix {
+		return false
+	}
+	for _, c := range id[len(JobPrefix):] {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// JobStatus answers a user.
+type JobStatus struct {
+	ID      string `cbor:"uid"`
+	Stage   Stage  `cbor:"stage"`
+	Done    int    `cbor:"done"`
+	Running int    `cbor:"running"`
+}
+
+// Failure says why a request was not served.
+type Failure struct {
+	Error string `cbor:"error"`
+}
