--- a/amberdeal.go
+++ b/amberdeal.go
@@ -38,6 +38,7 @@
 type Service struct {
 	cfg     *Config
 	log     *slog.Logger
+	net     transport.Network
 	client  *store.Client
 	view    *store.View
 	follow  *store.Follower
@@ -64,20 +65,24 @@
 
 // New makes a controller; it opens nothing yet.
 func New(cfg *Config, log *slog.Logger) *Service {
+	return newOn(transport.Sockets{Log: log}, cfg, log)
+}
+
+func newOn(net transport.Network, cfg *Config, log *slog.Logger) *Service {
 	shares := len(cfg.Siblings) + 1
-	s := &Service{cfg: cfg, log: log, changed: make(chan struct{}, 1),
+	s := &Service{cfg: cfg, log: log, net: net, changed: make(chan struct{}, 1),
 		holders: make(map[string]*holding), reports: make(map[string]time.Time)}
-	s.client = store.NewClient(cfg.StoreAddr, cfg.Store.RPS, cfg.Store.WriteRPS, shares, log)
+	s.client = store.NewClient(net, cfg.StoreAddr, cfg.Store.RPS, cfg.Store.WriteRPS, shares, log)
 	s.view = store.NewView(log)
 	s.follow = store.NewFollower(s.client, s.view, log)
-	s.cloud = cloud.New(cfg.CloudAddr, cfg.Cloud.RPS/2)
-	s.workers = worker.NewClient()
+	s.cloud = cloud.New(net, cfg.CloudAddr, cfg.Cloud.RPS/2)
+	s.workers = worker.NewClient(net)
 	s.keeper = &claim.Keeper{
 		Claim: claim.New(cfg.Name, cfg.Tuning.Lease, cfg.Tuning.Renew),
 		Parts: fleet.Parts(), Client: s.client, View: s.view, Follow: s.follow, Log: log,
 		Ready: func() bool { return s.machineTypes() != nil }, Changed: s.wake,
 	}
-	s.mesh = &mesh.Mesh{Siblings: make(map[string]string), Beat: s.beat, Log: log}
+	s.mesh = &mesh.Mesh{Siblings: make(map[string]string), Beat: s.beat, Dial: net.Dial, Log: log}
 	for _, sib := range cfg.Siblings {
 		s.mesh.Siblings[sib.Name] = sib.Addr
 	}
@@ -90,16 +95,14 @@
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	answer := worker.Handler(s.report, s.log)
-	public := &transport.Server{Addr: s.cfg.PublicAddr, MaxConns: s.cfg.Limits.Files * 3 / 4, Log: s.log,
-		Serve: transport.HTTP(wire.MaxBody, 90*time.Second, func(ctx context.Context, r *httpwire.Request) *httpwire.Response {
-			if r.Path == wire.PathReport {
-				return answer(ctx, r)
-			}
-			return s.desk.Handle(ctx, r)
-		})}
-	peers := &transport.Server{Addr: s.cfg.MeshAddr, MaxConns: 64, Log: s.log, Serve: s.mesh.Receive}
-	g.Go(func() error { return public.Run(ctx) })
-	g.Go(func() error { return peers.Run(ctx) })
+	public := transport.HTTP(wire.MaxBody, 90*time.Second, func(ctx context.Context, r *httpwire.Request) *httpwire.Response {
+		if r.Path == wire.PathReport {
+			return answer(ctx, r)
+		}
+		return s.desk.Handle(ctx, r)
+	})
+	g.Go(func() error { return s.net.Listen(ctx, s.cfg.PublicAddr, s.cfg.Limits.Files*3/4, public) })
+	g.Go(func() error { return s.net.Listen(ctx, s.cfg.MeshAddr, 64, s.mesh.Receive) })
 	g.Go(func() error { return s.follow.Run(ctx) })
 	g.Go(func() error { return s.follow.RunBarriers(ctx) })
 	g.Go(func() error { return s.keeper.Run(ctx) })
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -24,8 +24,8 @@
 }
 
 // New gives a client that keeps to the limit of so many calls a second.
-func New(addr string, rps float64) *Client {
-	return &Client{addr, &transport.Caller{Limit: 4 << 20}, rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
+func New(net transport.Network, addr string, rps float64) *Client {
+	return &Client{addr, &transport.Caller{Limit: 4 << 20, Dial: net.Dial}, rate.NewLimiter(rate.Limit(rps), max(1, int(rps)))}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, error) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,6 +34,7 @@
 type Mesh struct {
 	Siblings map[string]string // name to address
 	Beat     func() Beat
+	Dial     func(ctx context.Context, addr string) (net.Conn, error)
 	Log      *slog.Logger
 
 	mu   sync.Mutex
@@ -57,8 +58,10 @@
 }
 
 // Receive reads the beats of one connection.
-func (m *Mesh) Receive(_ context.Context, c *transport.Conn) {
-	c.ReadTimeout = 10 * time.Second
+func (m *Mesh) Receive(ctx context.Context, c transport.Stream) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	c.SetIdle(10 * time.Second)
 	dec := gob.NewDecoder(c)
 	for {
 		var b Beat
@@ -90,8 +93,9 @@
 }
 
 func (m *Mesh) stream(ctx context.Context, addr string) error {
-	d := net.Dialer{Timeout: 2 * time.Second}
-	conn, err := d.DialContext(ctx, "tcp4", addr)
+	dial, cancel := context.WithTimeout(ctx, 2*time.Second)
+	conn, err := m.Dial(dial, addr)
+	cancel()
 	if err != nil {
 		return err
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -46,12 +46,12 @@
 }
 
 // NewClient gives a client that keeps to one of so many shares of the limits.
-func NewClient(addr string, rps, writeRPS float64, shares int, log *slog.Logger) *Client {
+func NewClient(net transport.Network, addr string, rps, writeRPS float64, shares int, log *slog.Logger) *Client {
 	share := func(r float64) *rate.Limiter {
 		r /= float64(shares)
 		return rate.NewLimiter(rate.Limit(r), max(1, int(r)))
 	}
-	return &Client{addr: addr, caller: &transport.Caller{Limit: 32 << 20}, reads: share(rps), writes: share(writeRPS), log: log}
+	return &Client{addr: addr, caller: &transport.Caller{Limit: 32 << 20, Dial: net.Dial}, reads: share(rps), writes: share(writeRPS), log: log}
 }
 
 // patience bounds an ordinary call; answers mostly come within 10 ms.
--- a/internal/transport/call.go
+++ b/internal/transport/call.go
@@ -20,6 +20,7 @@
 // silent peer costs a time-out only to its own callers.
 type Caller struct {
 	Limit int64 // of an answer's body
+	Dial  func(ctx context.Context, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*outConn
@@ -88,8 +89,7 @@
 }
 
 func (c *Caller) dial(ctx context.Context, addr string) (*outConn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp4", addr)
+	conn, err := c.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -110,14 +110,3 @@
 	}
 	c.idle[addr] = append(c.idle[addr], conn)
 }
-
-// Forget closes the connections kept to an address, such as that of a machine
-// that is gone.
-func (c *Caller) Forget(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.idle[addr] {
-		conn.Close()
-	}
-	delete(c.idle, addr)
-}
--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -30,10 +31,12 @@
 	pending []byte
 	closed  bool
 	wake    chan struct{}
-	// ReadTimeout bounds one Read; 0 means none.
-	ReadTimeout time.Duration
+	idle    time.Duration
 }
 
+// SetIdle bounds each Read from now on; 0 means no bound.
+func (c *Conn) SetIdle(d time.Duration) { c.idle = d }
+
 // Read waits for bytes of the peer.
 func (c *Conn) Read(p []byte) (int, error) {
 	var expired <-chan time.Time
@@ -53,8 +56,8 @@
 		if closed {
 			return 0, io.EOF
 		}
-		if expired == nil && c.ReadTimeout > 0 {
-			t := time.NewTimer(c.ReadTimeout)
+		if expired == nil && c.idle > 0 {
+			t := time.NewTimer(c.idle)
 			defer t.Stop()
 			expired = t.C
 		}
@@ -109,16 +112,48 @@
 	c.signal()
 }
 
+// Stream is an accepted connection as its goroutine sees it.
+type Stream interface {
+	io.ReadWriteCloser
+	// SetIdle bounds each Read from now on; 0 means no bound.
+	SetIdle(time.Duration)
+}
+
 // ServeConn is run in a goroutine for each accepted connection.
-type ServeConn func(ctx context.Context, c *Conn)
+type ServeConn func(ctx context.Context, c Stream)
+
+// Network is how a controller reaches the world; a test may bring its own.
+type Network interface {
+	// Listen serves an address until the context ends, so many connections at
+	// the most.
+	Listen(ctx context.Context, addr string, conns int, serve ServeConn) error
+	// Dial opens a connection out.
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// Sockets is the real network: gnet's event loop for what comes in, the
+// library's dialer for what goes out.
+type Sockets struct{ Log *slog.Logger }
+
+// Dial opens a connection out.
+func (Sockets) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+// Listen serves an address on an event loop of its own.
+func (n Sockets) Listen(ctx context.Context, addr string, conns int, serve ServeConn) error {
+	s := &server{addr: addr, conns: int64(conns), serve: serve, log: n.Log}
+	return s.run(ctx)
+}
 
-// Server listens on one address.
-type Server struct {
+// server is gnet's view of one listening address.
+type server struct {
 	gnet.BuiltinEventEngine
-	Addr     string
-	MaxConns int
-	Serve    ServeConn
-	Log      *slog.Logger
+	addr  string
+	conns int64
+	serve ServeConn
+	log   *slog.Logger
 
 	ctx    context.Context
 	engine gnet.Engine
@@ -127,14 +162,13 @@
 	group  sync.WaitGroup
 }
 
-// Run serves until the context ends.
-func (s *Server) Run(ctx context.Context) error {
+func (s *server) run(ctx context.Context) error {
 	s.ctx = ctx
 	done := make(chan error, 1)
 	go func() {
-		done <- gnet.Run(s, "tcp://"+s.Addr, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+		done <- gnet.Run(s, "tcp://"+s.addr, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithReadBufferCap(16<<10), gnet.WithWriteBufferCap(64<<10),
-			gnet.WithLogger(quiet{s.Log}), gnet.WithLogLevel(logging.ErrorLevel))
+			gnet.WithLogger(quiet{s.log}), gnet.WithLogLevel(logging.ErrorLevel))
 	}()
 	select {
 	case err := <-done:
@@ -154,16 +188,16 @@
 }
 
 // OnBoot is called by gnet.
-func (s *Server) OnBoot(e gnet.Engine) gnet.Action {
+func (s *server) OnBoot(e gnet.Engine) gnet.Action {
 	s.engine = e
 	s.booted.Store(true)
 	return gnet.None
 }
 
 // OnOpen is called by gnet for each new connection.
-func (s *Server) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
-	if s.open.Add(1) > int64(s.MaxConns) {
-		s.Log.Warn("connection refused: too many are open", "addr", s.Addr, "limit", s.MaxConns)
+func (s *server) OnOpen(g gnet.Conn) ([]byte, gnet.Action) {
+	if s.open.Add(1) > s.conns {
+		s.log.Warn("connection refused: too many are open", "addr", s.addr, "limit", s.conns)
 		return nil, gnet.Close
 	}
 	c := &Conn{conn: g, wake: make(chan struct{}, 1)}
@@ -172,13 +206,13 @@
 	go func() {
 		defer s.group.Done()
 		defer c.Close()
-		s.Serve(s.ctx, c)
+		s.serve(s.ctx, c)
 	}()
 	return nil, gnet.None
 }
 
 // OnClose is called by gnet when a connection is gone.
-func (s *Server) OnClose(g gnet.Conn, _ error) gnet.Action {
+func (s *server) OnClose(g gnet.Conn, _ error) gnet.Action {
 	s.open.Add(-1)
 	if c, ok := g.Context().(*Conn); ok {
 		c.end()
@@ -187,7 +221,7 @@
 }
 
 // OnTraffic is called by gnet when bytes have come.
-func (s *Server) OnTraffic(g gnet.Conn) gnet.Action {
+func (s *server) OnTraffic(g gnet.Conn) gnet.Action {
 	c, ok := g.Context().(*Conn)
 	if !ok {
 		return gnet.Close
@@ -214,8 +248,8 @@
 // HTTP serves requests, one after the other, on a connection. A peer that is
 // idle, slow or silent for longer than idle is closed.
 func HTTP(limit int64, idle time.Duration, h Handler) ServeConn {
-	return func(ctx context.Context, c *Conn) {
-		c.ReadTimeout = idle
+	return func(ctx context.Context, c Stream) {
+		c.SetIdle(idle)
 		stop := context.AfterFunc(ctx, func() { c.Close() })
 		defer stop()
 		r := bufio.NewReaderSize(c, 4<<10)
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -17,7 +17,9 @@
 type Client struct{ caller transport.Caller }
 
 // NewClient gives a client.
-func NewClient() *Client { return &Client{transport.Caller{Limit: 1 << 20}} }
+func NewClient(net transport.Network) *Client {
+	return &Client{transport.Caller{Limit: 1 << 20, Dial: net.Dial}}
+}
 
 func (c *Client) call(ctx context.Context, addr, method, path string, body []byte) (*wire.Report, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
