--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Checker watches the rules of the protocol from the outside: it sees what
+// the workers do and what users are told, and nothing of the controllers.
+type Checker struct {
+	Cancel time.Duration      // within which a cancelled job's tasks must be gone
+	Limits map[string]float64 // of GPUs, by team
+
+	mu        sync.Mutex
+	submitted map[string]*wire.Job
+	run       map[string]time.Duration
+	places    map[wire.TaskID]map[string]string // machine to zone
+	finished  map[wire.TaskID]bool
+	told      map[string]wire.Stage
+	cancelled map[string]time.Time // when the user was told
+	used      map[string]float64
+	broken    []string
+	Started   int
+}
+
+// NewChecker gives a checker that has seen nothing.
+func NewChecker(cancel time.Duration, limits map[string]float64) *Checker {
+	return &Checker{Cancel: cancel, Limits: limits, submitted: map[string]*wire.Job{}, run: map[string]time.Duration{},
+		places: map[wire.TaskID]map[string]string{}, finished: map[wire.TaskID]bool{}, told: map[string]wire.Stage{},
+		cancelled: map[string]time.Time{}, used: map[string]float64{}}
+}
+
+func (c *Checker) breaks(rule, format string, args ...any) {
+	c.broken = append(c.broken, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// Broken lists the rules that were broken, each with what broke it.
+func (c *Checker) Broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for t, where := range c.places {
+		c.late(t, where)
+	}
+	return slices.Clone(c.broken)
+}
+
+func (c *Checker) late(t wire.TaskID, where map[string]string) {
+	if at, ok := c.cancelled[t.Job]; ok && len(where) > 0 && time.Since(at) > c.Cancel {
+		c.breaks("ran_cancelled", "%v is on %v %v after its user was told", t, where, time.Since(at))
+	}
+}
+
+// Submitted tells that a user submits a job whose tasks run for a time.
+func (c *Checker) Submitted(j *wire.Job, run time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.submitted[j.ID], c.run[j.ID] = j, run
+}
+
+// on tells that a task starts on a machine, and gives its run time.
+func (c *Checker) on(t wire.TaskID, machine, typ, zone string, spot bool) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.submitted[t.Job]
+	if j == nil {
+		return 0, false
+	}
+	c.Started++
+	if len(c.places[t]) > 0 {
+		c.breaks("ran_twice", "%v starts on %s while it is on %v", t, machine, c.places[t])
+	}
+	if c.places[t] == nil {
+		c.places[t] = map[string]string{}
+	}
+	c.places[t][machine] = zone
+	c.used[j.Team] += j.GPUs
+	if limit := c.Limits[j.Team]; limit > 0 && c.used[j.Team] > limit {
+		c.breaks("quota", "team %s uses %v of %v", j.Team, c.used[j.Team], limit)
+	}
+	if spot && !j.Spot || len(j.Types) > 0 && !slices.Contains(j.Types, typ) || j.Zone != "" && j.Zone != zone {
+		c.breaks("wrong_place", "%v on %s %s in %s", t, typ, machine, zone)
+	}
+	c.zones(j, t)
+	if at, ok := c.cancelled[t.Job]; ok && time.Since(at) > c.Cancel {
+		c.breaks("ran_cancelled", "%v starts %v after its user was told", t, time.Since(at))
+	}
+	if c.finished[t] { // started again, it ends as soon as it has its image
+		return 10 * time.Millisecond, true
+	}
+	return c.run[t.Job], true
+}
+
+// zones checks where the tasks of a job are when one more starts.
+func (c *Checker) zones(j *wire.Job, t wire.TaskID) {
+	in := map[string]int{}
+	for i := range j.Tasks {
+		for _, zone := range c.places[wire.TaskID{Job: j.ID, Index: i}] {
+			in[zone]++
+		}
+	}
+	for _, n := range in {
+		if j.OneZone && len(in) > 1 || j.Spread && n > (j.Tasks+1)/2 {
+			c.breaks("wrong_place", "%v: the job's tasks are in %v", t, in)
+			return
+		}
+	}
+}
+
+func (c *Checker) off(t wire.TaskID, machine string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.places[t][machine]; ok {
+		c.late(t, c.places[t])
+		delete(c.places[t], machine)
+		c.used[c.submitted[t.Job].Team] -= c.submitted[t.Job].GPUs
+	}
+}
+
+func (c *Checker) done(t wire.TaskID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.finished[t] = true
+	if j := c.submitted[t.Job]; j.Shape == wire.Gang { // they complete together
+		for i := range j.Tasks {
+			c.finished[wire.TaskID{Job: t.Job, Index: i}] = true
+		}
+	}
+}
+
+// Told tells what a user was answered about a job: a status, and on success
+// the stage. asked says whether the user had asked to cancel it.
+func (c *Checker) Told(id string, status int, stage wire.Stage, asked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j, before := c.submitted[id], c.told[id]
+	switch {
+	case j == nil && status == 200:
+		c.breaks("invented", "%s", id)
+	case before != "" && (status == 404 || status == 400 || status == 422):
+		c.breaks("forgotten", "%s: %d", id, status)
+	}
+	if j == nil || status != 200 && status != 201 {
+		return
+	}
+	if before.Final() && stage != before || stage == wire.Cancelled && !asked {
+		c.breaks("went_back", "%s was %s, is called %s", id, before, stage)
+	}
+	if stage == wire.Done {
+		for i := range j.Tasks {
+			if !c.finished[wire.TaskID{Job: id, Index: i}] {
+				c.breaks("not_done", "%s/%d", id, i)
+			}
+		}
+	}
+	if stage == wire.Cancelled && before != wire.Cancelled {
+		c.cancelled[id] = time.Now()
+	}
+	c.told[id] = stage
+}
+
+// Stage is what the user of a job was last told.
+func (c *Checker) Stage(id string) wire.Stage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told[id]
+}
--- /dev/null
+++ b/internal/standin/net.go
@@ -0,0 +1,184 @@
+// Package standin holds small stand-ins of everything that a controller talks
+// to: the network, the state service, the cloud and the workers, and a checker
+// of the protocol's rules that knows nothing of the controllers. They serve
+// tests, in one process and on any clock.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/httpwire"
+	"amberdeal.example/amberdeal/internal/transport"
+)
+
+// Net is a network of hosts, named by their IP addresses, in memory.
+type Net struct {
+	mu        sync.Mutex
+	listeners map[string]listener
+	down      map[string]bool
+	cut       map[[2]string]bool
+	conns     map[*conn]bool
+}
+
+type listener struct {
+	ctx   context.Context
+	serve transport.ServeConn
+}
+
+// conn is one end of a connection between two hosts.
+type conn struct {
+	net.Conn
+	from, to string
+	net      *Net
+}
+
+func (c *conn) Close() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// stream gives the accepting end the bound on silence that the service sets.
+type stream struct {
+	net.Conn
+	idle time.Duration
+}
+
+func (s *stream) SetIdle(d time.Duration) { s.idle = d }
+
+func (s *stream) Read(p []byte) (int, error) {
+	if s.idle > 0 {
+		_ = s.SetReadDeadline(time.Now().Add(s.idle))
+	}
+	return s.Conn.Read(p)
+}
+
+// NewNet gives an empty network.
+func NewNet() *Net {
+	return &Net{listeners: map[string]listener{}, down: map[string]bool{}, cut: map[[2]string]bool{}, conns: map[*conn]bool{}}
+}
+
+// Host is the network as one host sees it.
+type Host struct {
+	net  *Net
+	name string
+}
+
+// Host gives the view of the host with an IP address.
+func (n *Net) Host(ip string) Host { return Host{n, ip} }
+
+func hostOf(addr string) string { return strings.Split(addr, ":")[0] }
+
+func (n *Net) severed(a, b string) bool {
+	return n.down[a] || n.down[b] || n.cut[[2]string{a, b}] || n.cut[[2]string{b, a}]
+}
+
+// Listen implements transport.Network.
+func (h Host) Listen(ctx context.Context, addr string, _ int, serve transport.ServeConn) error {
+	h.net.mu.Lock()
+	h.net.listeners[addr] = listener{ctx, serve}
+	h.net.mu.Unlock()
+	<-ctx.Done()
+	return nil
+}
+
+// Dial implements transport.Network. Behind a cut it hangs, as on a network
+// that swallows packets.
+func (h Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	n, to := h.net, hostOf(addr)
+	n.mu.Lock()
+	l, ok := n.listeners[addr]
+	severed := n.severed(h.name, to)
+	n.mu.Unlock()
+	if severed {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if !ok || l.ctx.Err() != nil {
+		return nil, errors.New("connection refused")
+	}
+	a, b := net.Pipe()
+	out, in := &conn{a, h.name, to, n}, &conn{b, h.name, to, n}
+	n.mu.Lock()
+	n.conns[out], n.conns[in] = true, true
+	n.mu.Unlock()
+	go func() {
+		defer in.Close()
+		l.serve(l.ctx, &stream{Conn: in})
+	}()
+	return out, nil
+}
+
+// reset closes every connection that is severed.
+func (n *Net) reset(all bool) {
+	n.mu.Lock()
+	var gone []*conn
+	for c := range n.conns {
+		if all || n.severed(c.from, c.to) {
+			gone = append(gone, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+// Down takes a host off the network, or brings it back.
+func (n *Net) Down(host string, down bool) {
+	n.mu.Lock()
+	n.down[host] = down
+	n.mu.Unlock()
+	n.reset(false)
+}
+
+// Cut severs two hosts, or joins them again.
+func (n *Net) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	n.cut[[2]string{a, b}] = cut
+	n.mu.Unlock()
+	n.reset(false)
+}
+
+// Close ends every connection.
+func (n *Net) Close() { n.reset(true) }
+
+// caller gives a host's client.
+func (h Host) caller() *transport.Caller { return &transport.Caller{Limit: 8 << 20, Dial: h.Dial} }
+
+// handler serves requests with bodies and query parameters taken apart.
+func handler(f func(method, path string, query map[string]string, body []byte) (int, any)) transport.ServeConn {
+	return func(_ context.Context, s transport.Stream) {
+		r := bufio.NewReader(s)
+		for {
+			req, err := httpwire.ReadRequest(r, 1<<20)
+			if err != nil {
+				return
+			}
+			query := map[string]string{}
+			for _, kv := range strings.Split(req.Query, "&") {
+				k, v, _ := strings.Cut(kv, "=")
+				query[k] = strings.NewReplacer("%2F", "/").Replace(v)
+			}
+			status, body := f(req.Method, req.Path, query, req.Body)
+			if status == 0 { // swallowed: the caller gets no answer
+				return
+			}
+			resp := &httpwire.Response{Status: status, Body: encode(body)}
+			if _, err := s.Write(httpwire.AppendResponse(nil, resp)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Address makes the address of a host's port.
+func Address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
--- /dev/null
+++ b/sim_test.go
@@ -0,0 +1,279 @@
+package amberdeal
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// world is three controllers among stand-ins, on a fake clock.
+type world struct {
+	t     *testing.T
+	net   *standin.Net
+	store *standin.Store
+	cloud *standin.Cloud
+	check *standin.Checker
+	rand  *rand.Rand
+	nodes []*node
+	group sync.WaitGroup
+	ctx   context.Context
+	stop  context.CancelFunc
+	// tamper changes the settings of the controllers, to remove a guard.
+	tamper func(*config.Config)
+}
+
+type node struct {
+	ip   string
+	cfg  *config.Config
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+const workerLease = 20 * time.Second
+
+func newWorld(t *testing.T, seed uint64, lossy float64, tamper func(*config.Config)) *world {
+	w := &world{t: t, net: standin.NewNet(), store: standin.NewStore(seed, lossy), rand: rand.New(rand.NewPCG(seed, 2)), tamper: tamper}
+	w.check = standin.NewChecker(45*time.Second, map[string]float64{"red": 6})
+	w.ctx, w.stop = context.WithCancel(t.Context())
+	names := map[string]string{}
+	for i := range 3 {
+		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
+	}
+	w.cloud = &standin.Cloud{Capacity: 4, Lag: 2 * time.Second, Boot: 5 * time.Second, Rand: rand.New(rand.NewPCG(seed, 3)),
+		Types: []wire.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, MemoryGB: 64, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1, BootS: 5, Zones: []string{"a", "b"}}},
+		Start: func(id, addr, typ, zone string, spot bool) *standin.Worker {
+			return standin.NewWorker(w.net, id, addr, typ, zone, spot, names, w.check, workerLease, 2*time.Second)
+		}}
+	go w.net.Host("10.2.0.1").Listen(w.ctx, "10.2.0.1:2379", 0, w.store.Serve())
+	go w.net.Host("10.2.0.2").Listen(w.ctx, "10.2.0.2:8443", 0, w.cloud.Serve())
+	for i := range 3 {
+		n := &node{ip: w.ip(i)}
+		w.nodes = append(w.nodes, n)
+		w.start(i)
+	}
+	return w
+}
+
+func (w *world) ip(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+func (w *world) settings(i int) *config.Config {
+	c := &config.Config{Name: fmt.Sprintf("c-%d", i), Zone: "a", PublicAddr: standin.Address(w.ip(i), 8080), MeshAddr: standin.Address(w.ip(i), 8081),
+		CloudAddr: "10.2.0.2:8443", StoreAddr: "10.2.0.1:2379", Zones: []string{"a", "b"},
+		Teams:   []config.Team{{Name: "red", GPUs: 4, GPUsMax: 6}, {Name: "blue"}},
+		Workers: config.Workers{Report: 2 * time.Second, Lease: workerLease, GangWait: 20 * time.Second, GangPeer: 3 * time.Second, Cancel: 45 * time.Second},
+		Store:   config.Store{RPS: 200, WriteRPS: 60, ValueBytes: 8192, TxnOps: 12}, Cloud: config.Cloud{RPS: 10, ListLag: 2 * time.Second},
+		Limits: config.Limits{RAMBytes: 200 << 20, Files: 500}, Tuning: config.DefaultTuning()}
+	for k := range 3 {
+		if k != i {
+			c.Siblings = append(c.Siblings, config.Sibling{Name: fmt.Sprintf("c-%d", k), Addr: standin.Address(w.ip(k), 8081)})
+		}
+	}
+	if w.tamper != nil {
+		w.tamper(c)
+	}
+	return c
+}
+
+func (w *world) start(i int) {
+	n := w.nodes[i]
+	ctx, stop := context.WithCancel(w.ctx)
+	n.stop, n.done = stop, make(chan struct{})
+	out := io.Discard
+	if os.Getenv("SIM_LOG") != "" {
+		out = os.Stderr
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("node", i)
+	service := newOn(w.net.Host(n.ip), w.settings(i), log)
+	go func() {
+		defer close(n.done)
+		_ = service.Run(ctx)
+	}()
+}
+
+// kill ends a controller without a word, and starts it again later.
+func (w *world) kill(i int, back time.Duration) {
+	n := w.nodes[i]
+	w.net.Down(n.ip, true)
+	n.stop()
+	<-n.done
+	w.group.Add(1)
+	time.AfterFunc(back, func() {
+		defer w.group.Done()
+		w.net.Down(n.ip, false)
+		w.start(i)
+	})
+}
+
+// user submits a job, asks about it until it is over, and may cancel it.
+func (w *world) user(j *wire.Job, run, cancelAfter time.Duration) {
+	w.check.Submitted(j, run)
+	w.group.Add(1)
+	go func() {
+		defer w.group.Done()
+		caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.1").Dial}
+		ask := func(method, path string, body []byte, asked bool) int {
+			for try := 0; w.ctx.Err() == nil; try++ {
+				ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+				resp, err := caller.Call(ctx, standin.Address(w.ip((len(j.ID)+try)%3), 8080), method, path, body)
+				cancel()
+				if err == nil && resp.Status != 503 {
+					var s wire.JobStatus
+					_ = wire.Decode(resp.Body, &s)
+					w.check.Told(j.ID, resp.Status, s.Stage, asked)
+					return resp.Status
+				}
+				time.Sleep(time.Second)
+			}
+			return 0
+		}
+		path := wire.PathJobs + "/" + j.ID
+		if status := ask("POST", wire.PathJobs, wire.Encode(j), false); status != 201 && status != 200 && w.ctx.Err() == nil {
+			w.t.Errorf("%s was answered %d", j.ID, status)
+			return
+		}
+		begun, asked := time.Now(), false
+		for w.ctx.Err() == nil && !w.check.Stage(j.ID).Final() {
+			time.Sleep(3 * time.Second)
+			if cancelAfter > 0 && time.Since(begun) > cancelAfter {
+				asked = true
+				ask("POST", path+"/"+wire.CancelWord, []byte{}, true)
+				continue
+			}
+			ask("GET", path, nil, asked)
+		}
+		ask("POST", wire.PathJobs, wire.Encode(j), asked) // a late retry finds the final state
+	}()
+}
+
+// jobs of every shape, enough for the team red to meet its limit.
+func (w *world) submit(seed uint64, n int) {
+	luck := rand.New(rand.NewPCG(seed, 4))
+	for i := range n {
+		j := &wire.Job{ID: fmt.Sprintf("wk-%06d", luck.IntN(1e6)), Class: "c", Team: []string{"red", "blue"}[i%2], Priority: wire.Normal,
+			CPUs: 2, GPUs: 1, MemoryGB: 8, Image: fmt.Sprintf("img-%d", i%2), ImageGB: 1, EstimateS: 10, Spot: i%2 == 0}
+		run, cancel := time.Duration(5+luck.IntN(20))*time.Second, time.Duration(0)
+		switch i % 4 {
+		case 0, 1:
+			j.Shape, j.Tasks = wire.Array, 3+luck.IntN(4)
+		case 2:
+			j.Shape, j.Tasks, j.OneZone, j.CheckpointS, j.SaveS = wire.Gang, 2, true, 5, 1
+		case 3:
+			j.Shape, j.Tasks, j.Spread, j.Priority = wire.Service, 2, true, wire.Production
+			run, cancel = 24*time.Hour, time.Duration(40+luck.IntN(60))*time.Second
+		}
+		if i%6 == 0 {
+			cancel = time.Duration(5+luck.IntN(30)) * time.Second
+		}
+		w.user(j, run, cancel)
+		time.Sleep(time.Duration(luck.IntN(4000)) * time.Millisecond)
+	}
+}
+
+// finish waits for the users, for some time, and ends the world.
+func (w *world) finish(patience time.Duration) {
+	over := make(chan struct{})
+	go func() {
+		w.group.Wait()
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-time.After(patience):
+		w.t.Errorf("jobs are not over after %v", patience)
+	}
+	w.stop()
+	w.cloud.Stop()
+	for _, n := range w.nodes {
+		<-n.done
+	}
+	w.net.Close()
+	<-over
+	time.Sleep(time.Minute) // late timers of the stand-ins run out
+}
+
+// TestRulesHoldThroughFaults plays a day with kills, cuts, lost answers and an
+// outage, and lets the checker judge it.
+func TestRulesHoldThroughFaults(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed, 0.05, nil)
+				w.group.Add(1)
+				go func() {
+					defer w.group.Done()
+					w.submit(seed, 24)
+				}()
+				for step := range 12 {
+					time.Sleep(time.Duration(6+w.rand.IntN(10)) * time.Second)
+					i := w.rand.IntN(3)
+					switch step % 6 {
+					case 0:
+						w.kill(i, 3*time.Second)
+					case 1:
+						w.cloud.Take(w.rand.IntN(8))
+					case 2:
+						w.net.Cut(w.ip(i), "10.2.0.1", true)
+						time.AfterFunc(25*time.Second, func() { w.net.Cut(w.ip(i), "10.2.0.1", false) })
+					case 3:
+						if addr := w.cloud.Addr(w.rand.IntN(8)); addr != "" {
+							host := strings.Split(addr, ":")[0]
+							w.net.Down(host, true)
+							time.AfterFunc(time.Duration(10+w.rand.IntN(30))*time.Second, func() { w.net.Down(host, false) })
+						}
+					case 4:
+						w.store.Outage(true)
+						time.AfterFunc(12*time.Second, func() { w.store.Outage(false) })
+					case 5:
+						for k := range 3 {
+							w.kill(k, 3*time.Second)
+						}
+					}
+				}
+				w.finish(10 * time.Minute)
+				for _, b := range w.check.Broken() {
+					t.Error(b)
+				}
+				if w.check.Started == 0 {
+					t.Error("no task was started")
+				}
+			})
+		})
+	}
+}
+
+// TestCheckerSeesRemovedGuard takes the wait for the workers' leases away: the
+// checker must see tasks run twice, or it could not have seen anything above.
+func TestCheckerSeesRemovedGuard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 7, 0, func(c *config.Config) {
+			c.Workers.Lease = 100 * time.Millisecond // what proofs by time rest on
+			c.Tuning.Silence = time.Hour             // and no release to prove absence instead
+		})
+		for i := range 3 {
+			w.user(&wire.Job{ID: fmt.Sprintf("wk-%d", i), Class: "c", Team: "blue", Shape: wire.Array, Priority: wire.Normal, Tasks: 4,
+				CPUs: 2, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 1, EstimateS: 60}, 60*time.Second, 0)
+		}
+		time.Sleep(30 * time.Second)
+		host := strings.Split(w.cloud.Addr(0), ":")[0]
+		w.net.Down(host, true) // its tasks run on, for as long as its lease lasts
+		time.Sleep(18 * time.Second)
+		w.net.Down(host, false)
+		w.finish(10 * time.Minute)
+		if broken := strings.Join(w.check.Broken(), "\n"); !strings.Contains(broken, "ran_twice") {
+			t.Errorf("the checker saw nothing of it: %q", broken)
+		}
+	})
+}
