Kept traces of claims and rounds; no rental beside a machine that just came up

The traces showed a machine that had reported but was not yet recorded counted as neither usable nor booting, so that another was rented. They also showed a launch that was lost and then stopped kept as planned for ever.

--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,62 @@
+package claim
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/store"
+)
+
+// TestTraces plays the kept traces of a claim.
+func TestTraces(t *testing.T) {
+	standin.Traces(t, func(t *testing.T) func(string) []string {
+		zero := time.Unix(1e9, 0)
+		c, now := New("me", 9*time.Second, 3*time.Second), zero
+		return func(step string) []string {
+			w, kv := standin.Words(step)
+			num := func(key string) uint64 {
+				n, _ := strconv.ParseUint(kv[key], 10, 64)
+				return n
+			}
+			switch w[0] {
+			case "at":
+				d, _ := time.ParseDuration(w[1])
+				now = zero.Add(d)
+			case "granted":
+				c.Granted(num("lease"), now)
+			case "renewed":
+				c.Renewed(now)
+			case "lost":
+				c.Lost()
+			case "attempt":
+				txn, term := c.Attempt("fleet", store.Versioned[uint64]{Record: num("term"), Version: num("version")})
+				out := []string{fmt.Sprintf("term %d", term)}
+				for _, cond := range txn.If {
+					out = append(out, fmt.Sprintf("if %s is at %d", cond.Key, cond.Version))
+				}
+				for _, ch := range txn.Then {
+					out = append(out, fmt.Sprintf("put %s %v under lease %d", ch.Put, ch.Value, ch.Lease))
+				}
+				return out
+			case "won":
+				c.Won("fleet", num("term"), num("revision"))
+			case "see":
+				rec := store.Versioned[store.PartRecord]{Version: num("version"),
+					Record: store.PartRecord{Holder: kv["holder"], Term: num("term"), Lease: num("lease")}}
+				if old := c.See("fleet", rec, kv["holder"] != "", num("revision")); old != 0 {
+					return []string{fmt.Sprintf("end lease %d", old)}
+				}
+			default:
+				t.Fatalf("no such step: %s", step)
+			}
+			held, ok := c.Held("fleet")
+			if !ok {
+				return []string{fmt.Sprintf("holds nothing, valid=%v", c.Valid(now))}
+			}
+			return []string{fmt.Sprintf("holds the fleet with term %d at version %d, valid=%v", held.Term, held.Version, c.Valid(now))}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestParse reads a whole file, and then one in which almost everything is
+// wrong: every fault must be named.
+func TestParse(t *testing.T) {
+	good, err := os.ReadFile("testdata/good.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Parse(good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Workers.Lease != 30*time.Second || c.Store.ValueBytes != 8192 || c.Teams[0].GPUsMax != 8 || len(c.Siblings) != 1 {
+		t.Errorf("read as %+v", c)
+	}
+	bad, err := os.ReadFile("testdata/bad.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = Parse(bad)
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, field := range []string{"host_name", "public_addr", "mesh_addr", "endpoints.cloud", "siblings[0].peer_addr", "params.zones",
+		"params.teams[0].gpus", "params.workers.lease_s", "params.workers.cancel_s", "params.state.txn_ops", "params.cloud.rps", "params.limits.ram_mb"} {
+		if !strings.Contains(err.Error(), field+":") {
+			t.Errorf("the error does not name %s:\n%v", field, err)
+		}
+	}
+	if _, err := Parse([]byte("{")); err == nil {
+		t.Error("half a file was accepted")
+	}
+}
+
+// TestTuning: the operators' file is read, and its unknown keys are refused.
+func TestTuning(t *testing.T) {
+	tune := DefaultTuning()
+	if err := tune.parse([]byte("[claim]\nlease = 8s\nrenew = 2s\n[round]\ntasks = 100\n")); err != nil || tune.Lease != 8*time.Second || tune.RoundTasks != 100 {
+		t.Errorf("%+v, %v", tune, err)
+	}
+	err := tune.parse([]byte("[claim]\nlease = long\nrenew = 9s\n[rounds]\ntasks = 1\n"))
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	for _, field := range []string{"claim.lease", "claim.renew", "rounds.tasks"} {
+		if !strings.Contains(err.Error(), field) {
+			t.Errorf("the error does not name %s:\n%v", field, err)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,7 +65,7 @@
 	Begun     time.Time // first seen running
 	Seen      bool      // has been in a report
 
-	sentSession, sentSeq uint64
+	sentSeq uint64 // of the report whose answer carried the launch
 }
 
 // Stop is the order to stop a placement.
@@ -318,9 +318,13 @@
 		if p.State == Sent {
 			// Proof 1. One report is in flight at a time, and the answer to it
 			// is executed before the next is made, or never: the launch was
-			// lost, and may be said again.
-			if own && (r.Session != p.sentSession || r.Seq > p.sentSeq) {
-				p.State = Planned
+			// lost, and may be said again, unless it is to stop anyway.
+			if !own || r.Seq <= p.sentSeq {
+				continue
+			}
+			if p.State = Planned; p.Stop != nil {
+				f.remove(m, p)
+				events = append(events, Event{p, true})
 			}
 			continue
 		}
@@ -373,7 +377,7 @@
 		case p.Stop != nil && p.Seen && p.Active():
 			cmds = append(cmds, p.stopCommand())
 		case p.State == Planned && p.Committed && p.Stop == nil && launch:
-			p.State, p.sentSession, p.sentSeq = Sent, r.Session, r.Seq
+			p.State, p.sentSeq = Sent, r.Seq
 			cmds = append(cmds, wire.Command{Verb: wire.Launch, Task: p.Task.String(), Attempt: p.Attempt})
 		}
 	}
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -93,8 +93,12 @@
 func (h *Holder) pictureMachine(now time.Time, m *fleet.Machine, jobs map[string]*sched.Job, teams map[string]*sched.Team) *sched.Machine {
 	t := h.typeOf(m.Type)
 	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t), Images: map[string]bool{}}
-	s.Usable = m.Up && m.AtTerm && m.Recorded && m.Draining == "" && !m.Releasing && m.Notice.IsZero() && now.Sub(m.Heard) < fresh
-	s.Booting = !m.Up && !m.Recorded && !m.Releasing && m.Draining == ""
+	serves := m.Draining == "" && !m.Releasing && m.Notice.IsZero()
+	heard := m.Up && now.Sub(m.Heard) < fresh
+	s.Usable = serves && heard && m.AtTerm && m.Recorded
+	// One that has just come up is usable a round later: as good as booting,
+	// or another would be rented in its stead.
+	s.Booting = serves && !s.Usable && (heard || !m.Up && !m.Recorded)
 	busy := false
 	for _, p := range m.Placements() {
 		l := h.live[p.Task.Job]
--- /dev/null
+++ b/internal/round/trace_test.go
@@ -0,0 +1,244 @@
+package round
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/claim"
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// bench is a holder with its view, driven by the steps of a trace.
+type bench struct {
+	t      *testing.T
+	now    time.Time
+	view   *store.View
+	holder *Holder
+	era    uint64
+	draft  *Draft
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: time.Unix(1e9, 0), view: store.NewView(slog.New(slog.NewTextHandler(io.Discard, nil)))}
+	b.view.Load(nil, 0)
+	return b
+}
+
+func traceConfig() *config.Config {
+	return &config.Config{Teams: []config.Team{{Name: "red", GPUs: 2, GPUsMax: 4}, {Name: "blue"}},
+		Workers: config.Workers{Report: 3 * time.Second, Lease: 30 * time.Second, GangWait: 45 * time.Second, GangPeer: 4 * time.Second, Cancel: 60 * time.Second},
+		Store:   config.Store{TxnOps: 12, ValueBytes: 8192}, Cloud: config.Cloud{ListLag: 3 * time.Second}, Tuning: config.DefaultTuning()}
+}
+
+// apply puts changes into the view, as the watch would.
+func (b *bench) apply(then ...wire.Change) {
+	b.era++
+	ch := &wire.Changes{Revision: b.era}
+	for _, c := range then {
+		ch.Events = append(ch.Events, wire.Event{Put: c.Put, Value: wire.Encode(c.Value), Delete: c.Delete, Version: b.era})
+	}
+	b.view.Apply(ch)
+}
+
+func attempt(n uint64) string { return fmt.Sprintf("#%d.%d", n>>24, n&(1<<24-1)) }
+
+// parseTasks reads "wk-1/0#5.1 running" and the like, separated by commas.
+func (b *bench) parseTasks(text string) []wire.ReportedTask {
+	var out []wire.ReportedTask
+	for _, item := range strings.Split(text, ",") {
+		f := strings.Fields(item)
+		if len(f) == 0 {
+			continue
+		}
+		name, num, _ := strings.Cut(f[0], "#")
+		term, seq, _ := strings.Cut(num, ".")
+		hi, _ := strconv.ParseUint(term, 10, 64)
+		lo, _ := strconv.ParseUint(seq, 10, 64)
+		id, err := wire.ParseTaskID(name)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		task := wire.ReportedTask{Task: name, ID: id, Attempt: hi<<24 | lo, State: wire.TaskState(f[1])}
+		if len(f) > 2 {
+			task.State, task.Cause = wire.TaskEnded, wire.Cause(f[2])
+		}
+		out = append(out, task)
+	}
+	return out
+}
+
+func (b *bench) step(line string) []string {
+	step, tasks, _ := strings.Cut(line, ":")
+	w, kv := standin.Words(step)
+	num := func(key string, otherwise int) int {
+		if n, err := strconv.Atoi(kv[key]); err == nil {
+			return n
+		}
+		return otherwise
+	}
+	switch w[0] {
+	case "job":
+		j := &wire.Job{ID: w[1], Class: "c", Shape: wire.Shape(w[2]), Team: kv["team"], Priority: wire.Normal, Tasks: num("tasks", 1),
+			CPUs: 1, GPUs: float64(num("gpus", 1)), MemoryGB: 1, Image: "img", CheckpointS: float64(num("checkpoint", 0)), SaveS: 1}
+		if kv["priority"] != "" {
+			j.Priority = wire.Priority(kv["priority"])
+		}
+		b.apply(wire.Change{Put: store.JobKey(j.ID), Value: store.JobRecord{Stage: wire.Pending, Tasks: j.Tasks, Job: j}})
+	case "cancel":
+		rec, _, _, _ := b.view.Job(w[1])
+		b.apply(wire.Change{Put: store.JobKey(w[1]), Value: rec.End(wire.Cancelled)})
+	case "machine":
+		b.apply(wire.Change{Put: store.MachineKey(w[1]), Value: store.MachineRecord{Addr: "10.1.0.1:9000", Type: "g4", Zone: w[2]}})
+	case "ask":
+		b.apply(wire.Change{Put: store.AskKey(w[1]), Value: store.AskRecord{Type: "g4", Zone: w[2], Count: num("count", 1)}})
+	case "claim":
+		return b.claim(uint64(num("term", 1)))
+	case "wait":
+		d, _ := time.ParseDuration(w[1])
+		b.now = b.now.Add(d)
+	case "report", "inspected":
+		return b.report(w, uint64(num("term", 0)), tasks)
+	case "round":
+		return b.round(w[1:])
+	case "taken": // the round that had no answer turns out to be in the store
+		b.commit()
+	case "rented":
+		b.holder.rented(b.now, b.holder.asks[w[1]], w[2:])
+	case "listed":
+		var list []wire.ListedMachine
+		for _, id := range w[1:] {
+			list = append(list, wire.ListedMachine{ID: id, Type: "g4", Zone: "a", Stage: wire.MachineRunning})
+		}
+		b.holder.listed(b.now, b.now, list)
+	case "show":
+		return b.show()
+	default:
+		b.t.Fatalf("no such step: %s", line)
+	}
+	return nil
+}
+
+func (b *bench) claim(term uint64) []string {
+	b.apply(wire.Change{Put: store.PartKey("fleet"), Value: store.PartRecord{Holder: "me", Term: term}})
+	types := []wire.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, MemoryGB: 64, Price: 4, SpotPrice: 1, BootS: 30, Zones: []string{"a", "b"}}}
+	lookup := func(id string) (store.JobRecord, bool) {
+		rec, _, _, known := b.view.Job(id)
+		return rec, known
+	}
+	b.holder = New(traceConfig(), claim.Held{Part: "fleet", Term: term, Version: b.era, Revision: b.era}, b.view.Snapshot(),
+		b.view.Round("fleet"), types, lookup, b.now, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return nil
+}
+
+func (b *bench) report(w []string, term uint64, tasks string) []string {
+	session, seq, _ := strings.Cut(w[2], "/")
+	s, _ := strconv.ParseUint(session, 10, 64)
+	q, _ := strconv.ParseUint(seq, 10, 64)
+	r := &wire.Report{Machine: w[1], Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Session: s, Seq: q, Term: term, Tasks: b.parseTasks(tasks)}
+	if w[0] == "inspected" {
+		b.holder.Inspected(b.now, r)
+		return nil
+	}
+	var out []string
+	for _, c := range b.holder.Report(b.now, r, !slices.Contains(w, "invalid")).Commands {
+		out = append(out, fmt.Sprintf("%s %s%s", c.Verb, c.Task, attempt(c.Attempt)))
+	}
+	return out
+}
+
+// round decides one round. Its fate is to be taken, unless the step says that
+// it is refused or lost.
+func (b *bench) round(fate []string) []string {
+	b.draft = b.holder.Decide(b.now, b.view.Snapshot())
+	if b.draft == nil {
+		return []string{"nothing to write"}
+	}
+	var out []string
+	for _, p := range b.draft.launches {
+		out = append(out, fmt.Sprintf("launch %v%s on %s", p.Task, attempt(p.Attempt), p.Machine))
+	}
+	for _, c := range b.draft.Txn.Then {
+		switch {
+		case c.Delete != "":
+			out = append(out, "drop "+strings.TrimPrefix(c.Delete, store.Root))
+		case c.Put == store.RoundKey("fleet"):
+			out = append(out, fmt.Sprintf("put round %d, teams %v", b.draft.Number, c.Value.(store.RoundRecord).Teams))
+		default:
+			line := "put " + strings.TrimPrefix(c.Put, store.Root)
+			if rec, ok := c.Value.(store.JobRecord); ok {
+				line += " " + string(rec.Stage)
+			}
+			out = append(out, line)
+		}
+	}
+	for _, c := range b.draft.Txn.If {
+		out = append(out, fmt.Sprintf("if %s is at %d", strings.TrimPrefix(c.Key, store.Root), c.Version))
+	}
+	switch {
+	case slices.Contains(fate, "refused"):
+		b.holder.Discard(b.draft)
+	case !slices.Contains(fate, "lost"):
+		b.commit()
+	}
+	return out
+}
+
+func (b *bench) commit() {
+	b.apply(b.draft.Txn.Then...)
+	b.holder.Committed(b.draft, b.era)
+}
+
+func (b *bench) show() []string {
+	h := b.holder
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for _, m := range h.fleet.Machines() {
+		line := m.ID
+		if slices.Contains(h.fleet.Unproven(), m) {
+			line += " unproven"
+		}
+		if m.Releasing {
+			line += " releasing"
+		}
+		for _, p := range m.Placements() {
+			line += fmt.Sprintf(" %v%s=%s", p.Task, attempt(p.Attempt),
+				[]string{"planned", "sent", "fetching", "waiting", "running", "saving", "ended"}[p.State])
+			if p.Stop != nil {
+				line += fmt.Sprintf("(stop, grace %v)", p.Stop.Grace)
+			}
+		}
+		out = append(out, line)
+	}
+	for _, name := range sortedKeys(h.asks) {
+		out = append(out, fmt.Sprintf("ask %s for %d", name, h.asks[name].count))
+	}
+	return out
+}
+
+// TestTraces plays the kept traces of the holder.
+func TestTraces(t *testing.T) {
+	standin.Traces(t, func(t *testing.T) func(string) []string { return newBench(t).step })
+}
+
+// TestPictureCountsCancelled guards the quota: a task of a cancelled job counts
+// until it is gone.
+func TestPictureCountsCancelled(t *testing.T) {
+	b := newBench(t)
+	for _, s := range []string{"job wk-1 sweep team=red tasks=1 gpus=4", "claim term=2", "report n-1 1/1 term=2: wk-1/0#1.1 running", "cancel wk-1"} {
+		b.step(s)
+	}
+	b.holder.Decide(b.now, b.view.Snapshot())
+	if pic := b.holder.picture(b.now); pic.Teams["red"].UsedGPUs != 4 {
+		t.Errorf("the cancelled task counts %v of 4 GPUs", pic.Teams["red"].UsedGPUs)
+	}
+}
--- /dev/null
+++ b/internal/standin/trace.go
@@ -0,0 +1,66 @@
+package standin
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write what the traces now give")
+
+// Traces plays every kept trace in testdata: each line that does not begin
+// with # or > is a step, and the lines with > behind it are what came of it.
+// play is called for each file, and gives the function that takes its steps.
+func Traces(t *testing.T, play func(t *testing.T) func(step string) []string) {
+	files, err := filepath.Glob("testdata/*.trace")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".trace"), func(t *testing.T) {
+			kept, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			step := play(t)
+			var got strings.Builder
+			for _, line := range strings.Split(strings.TrimRight(string(kept), "\n"), "\n") {
+				if strings.HasPrefix(line, ">") {
+					continue
+				}
+				got.WriteString(line + "\n")
+				if line == "" || strings.HasPrefix(line, "#") {
+					continue
+				}
+				for _, out := range step(line) {
+					got.WriteString("> " + out + "\n")
+				}
+			}
+			if got.String() == string(kept) {
+				return
+			}
+			if *update {
+				if err := os.WriteFile(file, []byte(got.String()), 0o644); err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			t.Errorf("the trace has changed; it now reads:\n%s", got.String())
+		})
+	}
+}
+
+// Words takes a step apart: plain words, and key=value pairs.
+func Words(step string) (words []string, pairs map[string]string) {
+	pairs = map[string]string{}
+	for _, w := range strings.Fields(step) {
+		if k, v, ok := strings.Cut(w, "="); ok {
+			pairs[k] = v
+		} else {
+			words = append(words, w)
+		}
+	}
+	return words, pairs
+}
