Order jobs by the time that is left to meet their next aim

Cause: within a priority the order was by age alone, so jobs with a near aim waited behind jobs that had time, or had missed theirs already.

--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -20,6 +20,9 @@
 	for _, t := range h.cfg.Teams {
 		pic.Teams[t.Name] = &sched.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 	}
+	for _, o := range h.cfg.Objectives {
+		pic.Aims = append(pic.Aims, sched.Objective{Kind: o.Kind, Class: o.Class, Within: wire.Seconds(o.WithinS)})
+	}
 	for o, at := range h.refused {
 		if now.Sub(at) < refusal {
 			pic.Refused[o] = true
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -74,8 +74,23 @@
 	Avoid   map[string]bool // machines on which it failed
 
 	guaranteed bool
+	slack      time.Duration // until it must start to meet the next aim
 }
 
+// Objective is an aim of the users for a class of jobs: that they start, or
+// are finished, within a time.
+type Objective struct {
+	Kind, Class string
+	Within      time.Duration
+}
+
+// The kinds of objectives.
+const (
+	StartWithin     = "wait"
+	FinishWithin    = "finished"
+	GuaranteeWithin = "guarantee"
+)
+
 // Team is what a team is guaranteed, may use at most, and uses. A limit of 0
 // means none.
 type Team struct {
@@ -102,6 +117,7 @@
 	Jobs     []*Job
 	Teams    map[string]*Team
 	Types    []wire.MachineType
+	Aims     []Objective
 	Refused  map[Offer]bool // offers that the cloud refused a while ago
 	Idle     time.Duration  // after which an idle machine is returned
 	Tasks    int            // that may be launched in this round
@@ -167,7 +183,7 @@
 }
 
 // order sorts the jobs: production first, then what a team is guaranteed, then
-// priority, then age.
+// priority, then the time that is left to meet the aims.
 func (pl *planner) order() {
 	slices.SortFunc(pl.Jobs, func(a, b *Job) int { return cmp.Compare(a.Order, b.Order) })
 	sum := make(map[string]Amount)
@@ -189,11 +205,56 @@
 		}
 		return 2
 	}
+	for _, j := range pl.Jobs {
+		j.slack = pl.slackOf(j)
+	}
 	slices.SortStableFunc(pl.Jobs, func(a, b *Job) int {
-		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.Order, b.Order))
+		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.slack, b.slack), cmp.Compare(a.Order, b.Order))
 	})
 }
 
+// slackOf tells how long a job can still wait without missing the next aim
+// that it can meet. A job that has missed them all makes room for those that
+// have not, but comes closer to the front the longer it waits.
+func (pl *planner) slackOf(j *Job) time.Duration {
+	const late = 45 * time.Second
+	best, missed := time.Duration(math.MaxInt64), time.Duration(0)
+	for _, o := range pl.Aims {
+		need := pl.fetch(j) + 3*time.Second
+		switch {
+		case o.Kind == GuaranteeWithin && j.guaranteed, o.Kind == StartWithin && o.Class == j.Class:
+		case o.Kind == FinishWithin && o.Class == j.Class:
+			need += j.Estimate() * 11 / 10
+		default:
+			continue
+		}
+		if slack := o.Within - j.Age - need; slack >= 0 {
+			best = min(best, slack)
+		} else {
+			missed = max(missed, -slack)
+		}
+	}
+	if best == math.MaxInt64 {
+		best = late - missed/4
+		if missed == 0 {
+			best -= j.Age / 4
+		}
+	}
+	return best
+}
+
+// fetch is how long a machine takes to fetch a job's image, at the rate of the
+// slowest type.
+func (pl *planner) fetch(j *Job) time.Duration {
+	var longest float64
+	for _, t := range pl.Types {
+		if t.FetchGBps > 0 {
+			longest = max(longest, j.ImageGB/t.FetchGBps)
+		}
+	}
+	return wire.Seconds(longest)
+}
+
 // allowed reports whether a job's tasks may ever be on such a machine.
 func (pl *planner) allowed(j *Job, typ, zone string, spot bool) bool {
 	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
