Hold the machine that has room soonest for a gang that can't start

Cause: nothing was held for a gang once renting was refused, so that every gap went to a small task first.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -471,7 +471,53 @@
 			return m
 		}
 	}
-	return pl.newMachine(j, need, in)
+	if m := pl.newMachine(j, need, in); m != nil || j.Shape != wire.Gang {
+		return m
+	}
+	return pl.reserve(need, ok)
+}
+
+// reserve holds the machine that will soonest have room for a task of a gang,
+// as its other tasks end; small tasks would take every gap before it.
+func (pl *planner) reserve(need Amount, ok func(*Machine) bool) *Machine {
+	var best *Machine
+	soonest := time.Duration(math.MaxInt64)
+	for _, m := range pl.Machines {
+		if !m.Usable || !ok(m) {
+			continue
+		}
+		if t := pl.roomIn(need, m); t < soonest {
+			best, soonest = m, t
+		}
+	}
+	return best
+}
+
+// roomIn tells after how long a machine should have room, as far as the
+// estimates of its tasks can tell.
+func (pl *planner) roomIn(need Amount, m *Machine) time.Duration {
+	left := func(t Task) time.Duration {
+		switch {
+		case t.Stopping:
+			return 0
+		case t.Job.Shape == wire.Service:
+			return math.MaxInt64
+		}
+		return max(t.Job.Estimate()-t.Ran, 5*time.Second)
+	}
+	tasks := slices.Clone(m.Tasks)
+	slices.SortStableFunc(tasks, func(a, b Task) int { return cmp.Compare(left(a), left(b)) })
+	room, after := m.Free, time.Duration(0)
+	for _, t := range tasks {
+		if room.Fits(need) {
+			break
+		}
+		room, after = room.Plus(Of(t.Job.Job), 1), left(t)
+	}
+	if !room.Fits(need) {
+		return math.MaxInt64
+	}
+	return after
 }
 
 // stopping is the room that tasks which are being stopped will leave.
