--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -157,6 +157,7 @@
 	*Picture
 	plan  Plan
 	types map[string]*wire.MachineType
+	kinds []kind
 	fresh []*Machine // hypothetical machines that would be rented
 }
 
@@ -167,6 +168,7 @@
 		pl.types[p.Types[i].Name] = &p.Types[i]
 	}
 	pl.order()
+	pl.value()
 	for _, j := range p.Jobs {
 		if len(j.Waiting) == 0 || j.Ending {
 			continue
@@ -255,6 +257,60 @@
 	return wire.Seconds(longest)
 }
 
+// kind is what the tasks of a class take on the average, with what one is
+// worth: its share of the cheapest machine, by how many there are.
+type kind struct {
+	need  Amount
+	tasks float64
+	worth float64
+}
+
+// value sets what the room on a machine is worth to the work at hand.
+func (pl *planner) value() {
+	byClass := make(map[string]*kind)
+	for _, j := range pl.Jobs {
+		k := byClass[j.Class]
+		if k == nil {
+			k = &kind{}
+			byClass[j.Class] = k
+		}
+		n := float64(len(j.Waiting) + j.Active)
+		k.need, k.tasks = k.need.Plus(Of(j.Job), n), k.tasks+n
+	}
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
+		k := byClass[class]
+		if k.tasks == 0 {
+			continue
+		}
+		k.need = Amount{}.Plus(k.need, 1/k.tasks)
+		k.worth = math.Inf(1)
+		for _, t := range pl.Types {
+			if n := (Amount{t.CPUs, t.GPUs, t.MemoryGB}).Slots(k.need); n > 0 {
+				k.worth = min(k.worth, t.Price/float64(n))
+			}
+		}
+		if !math.IsInf(k.worth, 1) {
+			pl.kinds = append(pl.kinds, *k)
+		}
+	}
+}
+
+// worth tells what room is worth to the work at hand. Counting each kind by
+// itself shows what a task spoils: memory gone from beside idle GPUs, or a
+// small machine that only small work can use.
+func (pl *planner) worth(room Amount) float64 {
+	sum := 0.0
+	for _, k := range pl.kinds {
+		sum += k.tasks * k.worth * float64(max(0, room.Slots(k.need)))
+	}
+	return sum
+}
+
+// spoils tells what placing a task takes from the worth of a machine's room.
+func (pl *planner) spoils(m *Machine, need Amount) float64 {
+	return pl.worth(m.Free) - pl.worth(m.Free.Plus(need, -1))
+}
+
 // allowed reports whether a job's tasks may ever be on such a machine.
 func (pl *planner) allowed(j *Job, typ, zone string, spot bool) bool {
 	return (len(j.Types) == 0 || slices.Contains(j.Types, typ)) && (j.Zone == "" || j.Zone == zone) && (j.Spot || !spot)
@@ -319,17 +375,20 @@
 }
 
 // companion picks the machine for a task: one that holds the image or fetches
-// it, else the roomiest of a zone. Among holders the fullest is taken, and the
-// zone is the one that is left with the least torn space.
+// it, else the roomiest of a zone. Among holders the one is taken whose room is
+// spoilt least, and among zones the one whose roomiest machine is the fullest.
 func (pl *planner) companion(j *Job, need Amount, in map[string]int) *Machine {
 	var holder *Machine
+	var least float64
 	roomiest := make(map[string]*Machine)
 	for _, m := range pl.Machines {
 		if !m.Usable || j.Avoid[m.ID] || !m.Free.Fits(need) || !pl.allowed(j, m.Type, m.Zone, m.Spot) || !zoneOpen(j, in, m.Zone) {
 			continue
 		}
-		if m.Images[j.Image] && (holder == nil || fuller(j, m, holder)) {
-			holder = m
+		if m.Images[j.Image] {
+			if c := pl.spoils(m, need); holder == nil || better(j, m, holder, c, least) {
+				holder, least = m, c
+			}
 		}
 		if r := roomiest[m.Zone]; r == nil || fuller(j, r, m) {
 			roomiest[m.Zone] = m
@@ -348,6 +407,18 @@
 	return best
 }
 
+// better reports whether a, which would spoil room worth ca, is to be taken
+// rather than b.
+func better(j *Job, a, b *Machine, ca, cb float64) bool {
+	if j.Spot && a.Spot != b.Spot {
+		return a.Spot
+	}
+	if math.Abs(ca-cb) > 1e-6*(ca+cb) {
+		return ca < cb
+	}
+	return fuller(j, a, b)
+}
+
 // fuller reports whether a is the better of two machines for keeping others
 // free: cheap ones first where the job may, then the one with less room.
 func fuller(j *Job, a, b *Machine) bool {
