Hold room for gangs while offers are doubted; back off refused offers

Cause: each time the memory of a refusal ran out, the next try at renting counted as room to come, and small tasks took the gaps held for gangs for as long as the tries lasted.

--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -55,7 +55,7 @@
 	dropAsks     map[string]bool // asks to drop from the store
 	dropMachines map[string]bool // machine records to drop
 	release      map[string]bool // machines to release
-	refused      map[sched.Offer]time.Time
+	refused      map[sched.Offer]refusal
 	live         map[string]*store.LiveJob // of the last snapshot
 	kick         chan struct{}
 	rebuilt      bool
@@ -77,7 +77,7 @@
 		fleet: fleet.New(held.Term, now, cfg.Workers.Lease, linger(cfg), cfg.Cloud.ListLag),
 		types: types, round: last.Record.Round, roundVersion: last.Version,
 		jobs: map[string]*history{}, asks: map[string]*ask{}, dropAsks: map[string]bool{}, dropMachines: map[string]bool{},
-		release: map[string]bool{}, refused: map[sched.Offer]time.Time{}, kick: make(chan struct{}, 1),
+		release: map[string]bool{}, refused: map[sched.Offer]refusal{}, kick: make(chan struct{}, 1),
 	}
 	for id, m := range snap.Machines {
 		if fleet.PartOf(m.Zone, m.Type) == held.Part {
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -11,22 +11,34 @@
 // fresh is how recent a report must be for a machine to be launched on.
 const fresh = 6 * time.Second
 
-// refusal is how long the cloud's refusal of an offer is remembered.
-const refusal = 12 * time.Second
+// An offer that the cloud has refused is asked for again after a while that
+// doubles with each refusal.
+const (
+	firstRefusal = 8 * time.Second
+	lastRefusal  = 64 * time.Second
+)
+
+// refusal remembers that the cloud has refused an offer, and how often.
+type refusal struct {
+	at    time.Time
+	times int
+}
+
+func (r refusal) lasts(now time.Time) bool {
+	return now.Sub(r.at) < min(lastRefusal, firstRefusal<<min(r.times-1, 8))
+}
 
 // picture builds what sched decides on.
 func (h *Holder) picture(now time.Time) *sched.Picture {
-	pic := &sched.Picture{Types: h.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Offer]bool{}, Idle: h.cfg.Tuning.Idle}
+	pic := &sched.Picture{Types: h.types, Teams: map[string]*sched.Team{}, Refused: map[sched.Offer]bool{}, Doubted: map[sched.Offer]bool{}, Idle: h.cfg.Tuning.Idle}
 	for _, t := range h.cfg.Teams {
 		pic.Teams[t.Name] = &sched.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 	}
 	for _, o := range h.cfg.Objectives {
 		pic.Aims = append(pic.Aims, sched.Objective{Kind: o.Kind, Class: o.Class, Within: wire.Seconds(o.WithinS)})
 	}
-	for o, at := range h.refused {
-		if now.Sub(at) < refusal {
-			pic.Refused[o] = true
-		}
+	for o, r := range h.refused {
+		pic.Refused[o], pic.Doubted[o] = r.lasts(now), true
 	}
 	unproven := h.fleet.Unproven()
 	if len(unproven) == 0 && !h.rebuilt {
--- a/internal/round/run.go
+++ b/internal/round/run.go
@@ -262,7 +262,9 @@
 		h.fleet.Know(now, id, a.offer.Type, a.offer.Zone, a.offer.Spot)
 	}
 	if len(names) < a.count {
-		h.refused[a.offer] = now
+		h.refused[a.offer] = refusal{now, h.refused[a.offer].times + 1}
+	} else {
+		delete(h.refused, a.offer)
 	}
 	delete(h.asks, a.name)
 	h.dropAsks[a.name] = true
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -119,6 +119,7 @@
 	Types    []wire.MachineType
 	Aims     []Objective
 	Refused  map[Offer]bool // offers that the cloud refused a while ago
+	Doubted  map[Offer]bool // offers that it refused when they were last asked for
 	Idle     time.Duration  // after which an idle machine is returned
 	Tasks    int            // that may be launched in this round
 }
@@ -542,10 +543,15 @@
 			return m
 		}
 	}
-	if m := pl.newMachine(j, need, in); m != nil || j.Shape != wire.Gang {
+	m := pl.newMachine(j, need, in)
+	if j.Shape != wire.Gang || m != nil && !pl.Doubted[Offer{m.Type, m.Zone, m.Spot}] {
 		return m
 	}
-	return pl.reserve(need, ok)
+	// Nothing can be rented, or most likely not: hold room here as well.
+	if held := pl.reserve(need, ok); held != nil {
+		return held
+	}
+	return m
 }
 
 // reserve holds the machine that will soonest have room for a task of a gang,
