--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -208,8 +208,15 @@
 		}
 		return 2
 	}
+	// An aim counts by class, however many jobs the class has: the jobs of a
+	// rare one weigh more.
+	count, most := make(map[string]int), 1
 	for _, j := range pl.Jobs {
-		j.slack = pl.slackOf(j)
+		count[j.Class]++
+		most = max(most, count[j.Class])
+	}
+	for _, j := range pl.Jobs {
+		j.slack = pl.slackOf(j) * time.Duration(count[j.Class]) / time.Duration(most)
 	}
 	slices.SortStableFunc(pl.Jobs, func(a, b *Job) int {
 		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.slack, b.slack), cmp.Compare(a.Order, b.Order))
