--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -95,6 +95,7 @@
 	Answered             time.Time // last answer that it may have taken
 	Notice               time.Time // when the cloud takes it away; zero: no notice
 	Draining             string    // why nothing is placed here any more
+	Leaving              bool      // being emptied, to be returned
 	Releasing            bool
 	Recorded             bool           // in the store, so that it may be launched on
 	Faults               map[string]int // jobs that failed here
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -60,6 +60,7 @@
 	kick         chan struct{}
 	rebuilt      bool
 	typesChanged bool
+	crowded      time.Time // when something last waited for room
 }
 
 // linger bounds how long after its last confirmed renewal a holder answers
