--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -283,7 +283,6 @@
 			h.stop(now, p, s.Job.Job, s.Why)
 		}
 	}
-	h.leave(now, plan)
 	for _, r := range plan.Rents {
 		for left := r.Count; left > 0 && ops > 0; ops-- {
 			h.sequence++
@@ -301,28 +300,6 @@
 	h.releaseOthers(now)
 }
 
-// calm is for how long nothing may have waited before machines are emptied to
-// be returned.
-const calm = 10 * time.Second
-
-// leave empties the machines that the plan wants returned, and takes those
-// back that it no longer does.
-func (h *Holder) leave(now time.Time, plan sched.Plan) {
-	if plan.Unplaced > 0 || h.crowded.IsZero() {
-		h.crowded = now
-	}
-	for _, m := range h.fleet.Machines() {
-		if m.Leaving = slices.Contains(plan.Leaving, m.ID); m.Leaving {
-			h.log.Debug("emptying", "machine", m.ID)
-		}
-	}
-	for _, s := range plan.Moves {
-		if p := h.fleet.Active(wire.TaskID{Job: s.Job.ID, Index: s.Index}); p != nil {
-			h.stop(now, p, s.Job.Job, s.Why)
-		}
-	}
-}
-
 // releaseOthers gives up machines that serve nobody: drained ones that are
 // empty, ones that never come up, and silent ones.
 func (h *Holder) releaseOthers(now time.Time) {
@@ -340,7 +317,7 @@
 		busy := slices.ContainsFunc(m.Placements(), (*fleet.Placement).Active)
 		boot := h.typeOf(m.Type).BootS
 		switch {
-		case m.Up && !busy && (m.Draining != "" || m.Leaving || !m.Notice.IsZero()):
+		case m.Up && !busy && (m.Draining != "" || !m.Notice.IsZero()):
 			h.giveUp(m, "drained")
 		case !m.Up && !m.Recorded && boot > 0 && now.Sub(m.Since) > wire.Seconds(4*boot)+20*time.Second:
 			h.giveUp(m, "it does not come up")
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -60,7 +60,6 @@
 	kick         chan struct{}
 	rebuilt      bool
 	typesChanged bool
-	crowded      time.Time // when something last waited for room
 }
 
 // linger bounds how long after its last confirmed renewal a holder answers
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -64,7 +64,6 @@
 			t.UsedGPUs += s.GPUs
 		}
 	}
-	pic.Calm = h.rebuilt && !h.crowded.IsZero() && now.Sub(h.crowded) > calm
 	if !h.rebuilt {
 		pic.Idle = time.Hour
 	}
@@ -111,7 +110,6 @@
 	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t), Images: map[string]bool{}}
 	serves := m.Draining == "" && !m.Releasing && m.Notice.IsZero()
 	heard := m.Up && now.Sub(m.Heard) < fresh
-	s.Leaving = m.Leaving
 	s.Usable = serves && heard && m.AtTerm && m.Recorded
 	// One that has just come up is usable a round later: as good as booting,
 	// or another would be rented in its stead.
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -59,7 +59,6 @@
 	Images         map[string]bool
 	Tasks          []Task
 	Idle           time.Duration // without any task, 0 while it has one
-	Leaving        bool          // being emptied, to be returned
 	taken          bool          // by the plan being made
 }
 
@@ -122,7 +121,6 @@
 	Refused  map[Offer]bool // offers that the cloud refused a while ago
 	Doubted  map[Offer]bool // offers that it refused when they were last asked for
 	Idle     time.Duration  // after which an idle machine is returned
-	Calm     bool           // nothing has been waiting for room for a while
 	Tasks    int            // that may be launched in this round
 }
 
@@ -153,9 +151,6 @@
 	Stops    []Stop
 	Rents    []Rent
 	Releases []string
-	Leaving  []string // machines to empty and return
-	Moves    []Stop   // services to start again elsewhere, so that a machine gets empty
-	Unplaced int      // tasks that found no room now
 }
 
 // planner carries a plan in the making.
@@ -187,7 +182,6 @@
 	}
 	pl.rent()
 	pl.release()
-	pl.consolidate()
 	return pl.plan
 }
 
@@ -363,7 +357,6 @@
 		if !team.allows(need) {
 			return
 		}
-		pl.plan.Unplaced++
 		zone, found := pl.await(j, need, j.InZone)
 		if !found {
 			return
@@ -461,7 +454,6 @@
 			return
 		}
 	}
-	pl.plan.Unplaced++
 	// Not now: hold room for it on what stops, boots or is to be rented.
 	if pl.together(j, need, pl.next) != nil {
 		team.use(whole)
@@ -770,84 +762,10 @@
 		}
 		asked[j.Class] = true
 		if !slices.ContainsFunc(pl.Machines, func(m *Machine) bool {
-			return m != without && m.Usable && !m.Leaving && pl.allowed(j, m.Type, m.Zone, m.Spot) && m.Free.Fits(Of(j.Job))
+			return m != without && m.Usable && pl.allowed(j, m.Type, m.Zone, m.Spot) && m.Free.Fits(Of(j.Job))
 		}) {
 			return false
 		}
 	}
 	return true
 }
-
-// consolidate empties the machine that earns least of its price, when nothing
-// waits and the others have room for its services. What runs to an end by
-// itself is left to do so.
-func (pl *planner) consolidate() {
-	if !pl.Calm || pl.plan.Unplaced > 0 {
-		return
-	}
-	var worst *Machine
-	least := 0.5 // a machine that earns half of its price stays
-	for _, m := range pl.Machines {
-		if m.taken || len(m.Tasks) == 0 || !m.Usable && !m.Leaving {
-			continue
-		}
-		if m.Leaving {
-			worst = m
-			break
-		}
-		if e := pl.earns(m); e < least {
-			worst, least = m, e
-		}
-	}
-	if worst == nil {
-		return
-	}
-	worst.Usable = false
-	var moves []Stop
-	for _, t := range worst.Tasks {
-		if t.Job.Shape != wire.Service || t.Stopping {
-			continue
-		}
-		in := maps.Clone(t.Job.InZone)
-		in[worst.Zone]--
-		to := pl.companion(t.Job, Of(t.Job.Job), in)
-		if to == nil || !to.Images[t.Job.Image] {
-			return // it would be away for as long as the image takes
-		}
-		pl.occupy(t.Job, to)
-		moves = append(moves, Stop{t.Job, t.Index, worst.ID, "moving, to return the machine"})
-	}
-	if !pl.spare(worst) {
-		return
-	}
-	pl.plan.Leaving = append(pl.plan.Leaving, worst.ID)
-	if len(moves) > 0 {
-		pl.plan.Moves = moves[:1] // one at a time
-	}
-}
-
-// earns tells which share of a machine's price its tasks would cost on the
-// cheapest machines for them.
-func (pl *planner) earns(m *Machine) float64 {
-	t := pl.types[m.Type]
-	if t == nil {
-		return 1
-	}
-	price := t.Price
-	if m.Spot {
-		price = t.SpotPrice
-	}
-	sum := 0.0
-	for _, task := range m.Tasks {
-		least := math.Inf(1)
-		for _, o := range pl.Types {
-			if n := (Amount{o.CPUs, o.GPUs, o.MemoryGB}).Slots(Of(task.Job.Job)); n > 0 {
-				least = min(least, o.Price/float64(n))
-			}
-		}
-		if !math.IsInf(least, 1) {
-			sum += least
-		}
-	}
-	return sum / price
-}
