Give a silent machine up after 7 s

Cause: replicas of a dead machine were away for its whole silence. A worker reports every 3.75 s at the latest, so two reports are missing by then.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -95,7 +95,7 @@
 	return Tuning{
 		Lease: 9 * time.Second, Renew: 3 * time.Second,
 		RoundTasks: 500, RoundWindow: 2 * time.Second,
-		Idle: 25 * time.Second, Silence: 12 * time.Second,
+		Idle: 25 * time.Second, Silence: 7 * time.Second,
 	}
 }
 
