--- a/amberdeal.go
+++ b/amberdeal.go
@@ -231,7 +231,7 @@
 			store.Pause(ctx, 2*time.Minute)
 			continue
 		}
-		store.Pause(ctx, time.Second)
+		store.Pause(ctx, 300*time.Millisecond)
 	}
 	return nil
 }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -74,6 +74,7 @@
 	Avoid   map[string]bool // machines on which it failed
 
 	guaranteed bool
+	place      int           // in the order in which jobs get room
 	slack      time.Duration // until it must start to meet the next aim
 }
 
@@ -221,6 +222,9 @@
 	slices.SortStableFunc(pl.Jobs, func(a, b *Job) int {
 		return cmp.Or(cmp.Compare(class(a), class(b)), cmp.Compare(b.Priority.Rank(), a.Priority.Rank()), cmp.Compare(a.slack, b.slack), cmp.Compare(a.Order, b.Order))
 	})
+	for i, j := range pl.Jobs {
+		j.place = i
+	}
 }
 
 // slackOf tells how long a job can still wait without missing the next aim
@@ -617,7 +621,12 @@
 
 // mayPreempt reports whether the protocol lets a job stop another's task:
 // lesser priority, or work beyond a team's own guarantee for one within it.
+// What would get the room again before the job does is left alone, or the two
+// would chase each other for ever.
 func (pl *planner) mayPreempt(j, victim *Job) bool {
+	if victim.place < j.place {
+		return false
+	}
 	if victim.Priority.Rank() < j.Priority.Rank() {
 		return true
 	}
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+var g4 = wire.MachineType{Name: "g4", CPUs: 16, GPUs: 4, MemoryGB: 64, FetchGBps: 1, Price: 4, SpotPrice: 1, BootS: 30, Zones: []string{"a", "b"}}
+
+func machine(id, zone string, tasks ...Task) *Machine {
+	m := &Machine{ID: id, Type: "g4", Zone: zone, Usable: true, Free: Amount{16, 4, 64}, Images: map[string]bool{}}
+	for _, t := range tasks {
+		m.Free = m.Free.Plus(Of(t.Job.Job), -1)
+		m.Tasks = append(m.Tasks, t)
+		t.Job.Active++
+		t.Job.InZone[zone]++
+	}
+	return m
+}
+
+func job(id string, shape wire.Shape, p wire.Priority, gpus float64, waiting ...int) *Job {
+	return &Job{Job: &wire.Job{ID: id, Class: id, Team: "red", Shape: shape, Priority: p, Tasks: 4, CPUs: 1, GPUs: gpus, MemoryGB: 1, Image: "img"},
+		Waiting: waiting, InZone: map[string]int{}}
+}
+
+func picture(jobs []*Job, machines ...*Machine) *Picture {
+	for i, j := range jobs {
+		j.Order = uint64(i)
+	}
+	return &Picture{Machines: machines, Jobs: jobs, Teams: map[string]*Team{"red": {}, "blue": {GPUs: 4}}, Types: []wire.MachineType{g4},
+		Refused: map[Offer]bool{}, Doubted: map[Offer]bool{}, Idle: time.Minute, Tasks: 500}
+}
+
+// TestNoChase guards against two jobs that take the same room from each other
+// for ever: guaranteed work goes before higher priority that only borrows, so
+// that one must not stop it either.
+func TestNoChase(t *testing.T) {
+	safe := job("wk-1", wire.Array, wire.Normal, 4)
+	safe.Team = "blue"
+	high := job("wk-2", wire.Gang, wire.High, 4, 0)
+	plan := Choose(picture([]*Job{safe, high}, machine("n-1", "a", Task{Job: safe})))
+	if len(plan.Stops) != 0 {
+		t.Errorf("stops guaranteed work: %+v", plan.Stops)
+	}
+	if len(plan.Rents) != 1 {
+		t.Errorf("rents %+v instead", plan.Rents)
+	}
+}
+
+// TestPreempt stops the least that makes room, and nothing of equal rank.
+func TestPreempt(t *testing.T) {
+	low, equal, top := job("wk-1", wire.Array, wire.Normal, 1), job("wk-2", wire.Service, wire.Production, 1), job("wk-3", wire.Service, wire.Production, 2, 0)
+	a := machine("n-1", "a", Task{Job: equal}, Task{Job: equal, Index: 1}, Task{Job: equal, Index: 2}, Task{Job: equal, Index: 3})
+	b := machine("n-2", "a", Task{Job: low, Ran: time.Minute}, Task{Job: low, Index: 1}, Task{Job: low, Index: 2, Ran: time.Second}, Task{Job: low, Index: 3, Ran: time.Minute})
+	plan := Choose(picture([]*Job{low, equal, top}, a, b))
+	if len(plan.Stops) != 2 || plan.Stops[0].Index != 1 || plan.Stops[1].Index != 2 || plan.Stops[0].Machine != "n-2" {
+		t.Errorf("stops %+v", plan.Stops)
+	}
+}
+
+// TestSpread keeps half of a service's tasks, rounded up, to a zone; old
+// attempts count too.
+func TestSpread(t *testing.T) {
+	j := job("wk-1", wire.Service, wire.Production, 1, 1, 2, 3)
+	j.Spread = true
+	plan := Choose(picture([]*Job{j}, machine("n-1", "a", Task{Job: j, Stopping: true}), machine("n-2", "a")))
+	if len(plan.Launches) != 1 {
+		t.Errorf("launches %d beside the one that is stopping, want 1", len(plan.Launches))
+	}
+	for _, r := range plan.Rents {
+		if r.Zone != "b" {
+			t.Errorf("rents in zone %s", r.Zone)
+		}
+	}
+}
+
+// TestGangWhole places a gang in one zone or not at all.
+func TestGangWhole(t *testing.T) {
+	j := job("wk-1", wire.Gang, wire.Normal, 4, 0, 1)
+	j.Tasks, j.OneZone = 2, true
+	plan := Choose(picture([]*Job{j}, machine("n-1", "a"), machine("n-2", "b")))
+	if len(plan.Launches) != 0 {
+		t.Errorf("launches across zones: %+v", plan.Launches)
+	}
+	j.InZone = map[string]int{}
+	plan = Choose(picture([]*Job{j}, machine("n-1", "a"), machine("n-2", "b"), machine("n-3", "b")))
+	if len(plan.Launches) != 2 || plan.Launches[0].Machine == plan.Launches[1].Machine {
+		t.Errorf("launches %+v", plan.Launches)
+	}
+}
+
+// TestLimit lets a team use no more than its limit, waiting tasks included.
+func TestLimit(t *testing.T) {
+	j := job("wk-1", wire.Array, wire.Normal, 1, 0, 1, 2, 3)
+	p := picture([]*Job{j}, machine("n-1", "a"))
+	p.Teams["red"] = &Team{GPUsMax: 3, UsedGPUs: 1}
+	if plan := Choose(p); len(plan.Launches) != 2 || len(plan.Rents) != 0 {
+		t.Errorf("launches %d, rents %v", len(plan.Launches), plan.Rents)
+	}
+}
+
+// TestCompanion prefers the machine that holds the image, then the roomiest.
+func TestCompanion(t *testing.T) {
+	busy := job("wk-9", wire.Service, wire.Production, 1)
+	holder, roomy := machine("n-1", "a", Task{Job: busy}), machine("n-2", "a")
+	holder.Images["img"] = true
+	if plan := Choose(picture([]*Job{busy, job("wk-1", wire.Array, wire.Normal, 1, 0)}, holder, roomy)); plan.Launches[0].Machine != "n-1" {
+		t.Errorf("the image is on n-1: %+v", plan.Launches)
+	}
+	busy = job("wk-9", wire.Service, wire.Production, 1)
+	if plan := Choose(picture([]*Job{busy, job("wk-1", wire.Array, wire.Normal, 1, 0)}, machine("n-1", "a", Task{Job: busy}), machine("n-2", "a"))); plan.Launches[0].Machine != "n-2" {
+		t.Errorf("n-2 is the roomiest: %+v", plan.Launches)
+	}
+}
