--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -149,6 +149,8 @@
 			h.log.Info("task gone", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine)
 		} else if p.State == fleet.Ended && !p.Settled {
 			h.ended(now, p)
+		} else if p.State == fleet.Running {
+			h.log.Debug("task running", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "after", now.Sub(p.Placed))
 		}
 	}
 	if len(events) > 0 || !h.rebuilt {
