Launch by direct call; an unanswered one stays loose while the session lasts

Safety: an unanswered direct launch is never proven absent by a report, never taken back and never cleared before the session is over; its machine is released before a cancellation's time is up.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,10 @@
 	Seen      bool      // has been in a report
 
 	sentSeq uint64 // of the report whose answer carried the launch
+	// loose: the launch was also sent by a direct call that was not answered.
+	// It may be executed as long as the session lasts, so that the attempt is
+	// neither taken back nor cleared.
+	loose bool
 }
 
 // Stop is the order to stop a placement.
@@ -224,7 +228,7 @@
 
 // Withdraw takes a planned placement back; what was said can't be taken back.
 func (f *Fleet) Withdraw(p *Placement) bool {
-	if p.State != Planned {
+	if p.State != Planned || p.loose {
 		return false
 	}
 	f.remove(f.machines[p.Machine], p)
@@ -271,8 +275,9 @@
 	var events []Event
 	if r.Session > m.Session {
 		for _, p := range m.Placements() {
-			// Proof 2: the worker has forgotten all tasks of earlier sessions.
-			if p.State != Planned {
+			// Proof 2: the worker has forgotten all tasks of earlier sessions,
+			// and executes nothing that was sent for one.
+			if p.State != Planned || p.loose {
 				f.remove(m, p)
 				events = append(events, Event{p, true})
 			}
@@ -323,7 +328,7 @@
 			if !own || r.Seq <= p.sentSeq {
 				continue
 			}
-			if p.State = Planned; p.Stop != nil {
+			if p.State = Planned; p.Stop != nil && !p.loose {
 				f.remove(m, p)
 				events = append(events, Event{p, true})
 			}
@@ -357,6 +362,11 @@
 	return fresh
 }
 
+// serves reports whether a machine may be launched on.
+func (m *Machine) serves() bool {
+	return m.AtTerm && m.Draining == "" && !m.Releasing && m.Notice.IsZero()
+}
+
 // Answer gives the commands for the answer to a report that was just observed.
 // launch says whether the claim surely lasts. The answer counts as one that
 // the machine may have taken.
@@ -370,10 +380,10 @@
 	if r.Session != m.Session || r.Seq < m.reportSeq {
 		return cmds
 	}
-	launch = launch && m.AtTerm && m.Draining == "" && !m.Releasing && m.Notice.IsZero()
+	launch = launch && m.serves()
 	for _, p := range m.Placements() {
 		switch {
-		case p.State == Ended && p.Settled:
+		case p.State == Ended && p.Settled && !p.loose:
 			cmds = append(cmds, wire.Command{Verb: wire.Clear, Task: p.Task.String(), Attempt: p.Attempt})
 		case p.Stop != nil && p.Seen && p.Active():
 			cmds = append(cmds, p.stopCommand())
@@ -390,18 +400,50 @@
 	return wire.Command{Verb: wire.Stop, Task: p.Task.String(), Attempt: p.Attempt, GraceS: &grace}
 }
 
-// Stops gives the commands that may be sent straight to a machine: stopping is
-// harmless however late it is executed.
-func (f *Fleet) Stops(m *Machine) []wire.Command {
-	var cmds []wire.Command
+// Direct gives the commands that go straight to a machine: stops, which are
+// harmless however late they are executed, and, with launch, the launches that
+// wait. These count as loose until Called tells what became of the call.
+func (f *Fleet) Direct(m *Machine, launch bool) (cmds []wire.Command, launched []*Placement) {
+	launch = launch && m.serves() && m.Session > 0
 	for _, p := range m.Placements() {
-		if p.Stop != nil && p.State != Planned && p.Active() {
+		switch {
+		case p.Stop != nil && p.State != Planned && p.Active():
 			cmds = append(cmds, p.stopCommand())
+		case p.State == Planned && p.Committed && p.Stop == nil && !p.loose && launch:
+			p.State, p.sentSeq, p.loose = Sent, m.reportSeq, true
+			cmds = append(cmds, wire.Command{Verb: wire.Launch, Task: p.Task.String(), Attempt: p.Attempt})
+			launched = append(launched, p)
 		}
 	}
-	return cmds
+	return cmds, launched
 }
 
+// Outcome is what became of a direct call.
+type Outcome int
+
+// The outcomes of a direct call.
+const (
+	Unanswered Outcome = iota // it may have been executed, or may still be
+	Executed
+	Refused // it was not executed and never will be
+)
+
+// Called takes in what became of a direct call that carried launches.
+func (f *Fleet) Called(launched []*Placement, o Outcome) {
+	if o == Unanswered {
+		return
+	}
+	for _, p := range launched {
+		p.loose = false
+		if o == Refused && p.State == Sent {
+			p.State = Planned
+		}
+	}
+}
+
+// Loose reports whether a launch of the placement may still be on its way.
+func (p *Placement) Loose() bool { return p.loose }
+
 // Expire applies the proofs that time gives, and returns what they show gone.
 func (f *Fleet) Expire(now time.Time) []Event {
 	var events []Event
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -97,8 +97,9 @@
 		p.Stop = &fleet.Stop{Why: "job is over", Since: now}
 		h.log.Debug("stopping", "task", p.Task, "machine", p.Machine, "why", "job is over")
 	}
-	// A machine that can't be reached is released before the time is up.
-	if now.Sub(j.ended) > h.cfg.Workers.Cancel-15*time.Second && now.Sub(m.Heard) > 5*time.Second {
+	// A machine that can't be reached, or to which a launch may still be on its
+	// way, is released before the time is up.
+	if now.Sub(j.ended) > h.cfg.Workers.Cancel-15*time.Second && (now.Sub(m.Heard) > 5*time.Second || p.Loose()) {
 		h.giveUp(m, "it may run a task of a cancelled job, and is silent")
 	}
 }
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -58,6 +58,8 @@
 	refused      map[sched.Offer]refusal
 	live         map[string]*store.LiveJob // of the last snapshot
 	kick         chan struct{}
+	kickDirect   chan struct{}
+	called       map[string]called
 	rebuilt      bool
 	typesChanged bool
 }
@@ -77,7 +79,7 @@
 		fleet: fleet.New(held.Term, now, cfg.Workers.Lease, linger(cfg), cfg.Cloud.ListLag),
 		types: types, round: last.Record.Round, roundVersion: last.Version,
 		jobs: map[string]*history{}, asks: map[string]*ask{}, dropAsks: map[string]bool{}, dropMachines: map[string]bool{},
-		release: map[string]bool{}, refused: map[sched.Offer]refusal{}, kick: make(chan struct{}, 1),
+		release: map[string]bool{}, refused: map[sched.Offer]refusal{}, kick: make(chan struct{}, 1), kickDirect: make(chan struct{}, 1), called: map[string]called{},
 	}
 	for id, m := range snap.Machines {
 		if fleet.PartOf(m.Zone, m.Type) == held.Part {
--- a/internal/round/run.go
+++ b/internal/round/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -10,6 +11,7 @@
 	"amberdeal.example/amberdeal/internal/cloud"
 	"amberdeal.example/amberdeal/internal/fleet"
 	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/internal/transport"
 	"amberdeal.example/amberdeal/internal/worker"
 	"amberdeal.example/amberdeal/wire"
 )
@@ -50,6 +52,10 @@
 			if d := h.Decide(begun, e.View.Snapshot()); d != nil {
 				h.write(ctx, e, d)
 			}
+			select {
+			case h.kickDirect <- struct{}{}:
+			default:
+			}
 			h.startAsks(ctx, e)
 		}
 		store.Pause(ctx, max(roundGap-time.Since(begun), 10*time.Millisecond))
@@ -99,33 +105,35 @@
 	}
 }
 
-// direct sends stops straight to the machines, and raises the term at machines
-// that have not been seen at it.
+// Direct calls: how many at once, how long before the same stops are sent
+// again, how long before a machine is again asked to take the term, and how
+// recent a report must be for a launch to go straight to the machine.
+const (
+	maxDirect   = 16
+	directGap   = 3 * time.Second
+	raiseGap    = time.Second
+	directFresh = 5 * time.Second
+)
+
+// direct sends stops and launches straight to the machines, and raises the
+// term at machines that have not been seen at it.
 func (h *Holder) direct(ctx context.Context, e Edges) error {
-	type last struct {
-		at time.Time
-		n  int
-	}
-	sent := make(map[string]last)
-	busy := make(chan struct{}, 16)
+	busy := make(chan struct{}, maxDirect)
 	for ctx.Err() == nil {
-		now := time.Now()
-		for _, c := range h.calls() {
-			l := sent[c.machine]
-			if now.Sub(l.at) < 3*time.Second && l.n >= len(c.commands) && !(c.raise && now.Sub(l.at) > time.Second) {
-				continue
-			}
-			sent[c.machine] = last{now, len(c.commands)}
-			select {
-			case busy <- struct{}{}:
-				go func() {
-					defer func() { <-busy }()
-					h.callMachine(ctx, e, c)
-				}()
-			default:
-			}
+		for _, c := range h.calls(time.Now(), e.Valid(), maxDirect-len(busy)) {
+			busy <- struct{}{}
+			go func() {
+				defer func() { <-busy }()
+				h.callMachine(ctx, e, c)
+			}()
 		}
-		store.Pause(ctx, 200*time.Millisecond)
+		t := time.NewTimer(300 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-h.kickDirect:
+		case <-t.C:
+		}
+		t.Stop()
 	}
 	return nil
 }
@@ -134,27 +142,53 @@
 type call struct {
 	machine, addr string
 	session       uint64
-	raise         bool
 	commands      []wire.Command
+	launched      []*fleet.Placement
 }
 
-func (h *Holder) calls() []call {
+// called is what the holder remembers of the direct calls to a machine.
+type called struct {
+	at   time.Time
+	what string
+	open bool // not answered yet
+}
+
+// calls lists the direct calls to make now, at most so many.
+func (h *Holder) calls(now time.Time, valid bool, room int) []call {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []call
 	for _, m := range h.fleet.Machines() {
-		if m.Addr == "" || m.Releasing {
+		last := h.called[m.ID]
+		if m.Addr == "" || m.Releasing || last.open || len(out) == room {
 			continue
 		}
-		c := call{m.ID, m.Addr, m.Session, !m.AtTerm && (m.Up || m.Recorded), h.fleet.Stops(m)}
-		if c.raise || len(c.commands) > 0 {
-			out = append(out, c)
+		c := call{machine: m.ID, addr: m.Addr, session: m.Session}
+		c.commands, c.launched = h.fleet.Direct(m, valid && now.Sub(m.Heard) < directFresh)
+		raise := !m.AtTerm && (m.Up || m.Recorded)
+		what, gap := fmt.Sprint(c.commands), directGap
+		if raise {
+			gap = raiseGap
 		}
+		if len(c.launched) == 0 && (len(c.commands) == 0 && !raise || what == last.what && now.Sub(last.at) < gap) {
+			continue
+		}
+		h.called[m.ID] = called{now, what, true}
+		out = append(out, c)
 	}
 	return out
 }
 
 func (h *Holder) callMachine(ctx context.Context, e Edges, c call) {
+	outcome := fleet.Refused
+	defer func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.fleet.Called(c.launched, outcome)
+		last := h.called[c.machine]
+		last.open = false
+		h.called[c.machine] = last
+	}()
 	if c.session == 0 {
 		r, err := e.Workers.Inspect(ctx, c.addr)
 		if err != nil || r.Machine != c.machine {
@@ -163,9 +197,16 @@
 		h.Inspected(time.Now(), r)
 		c.session = r.Session
 	}
-	r, _, err := e.Workers.Do(ctx, c.addr, wire.Direct{Term: h.held.Term, Session: c.session, Commands: c.commands})
+	r, ok, err := e.Workers.Do(ctx, c.addr, wire.Direct{Term: h.held.Term, Session: c.session, Commands: c.commands})
+	switch {
+	case errors.Is(err, transport.ErrNotSent):
+	case err != nil || r.Machine != c.machine:
+		outcome = fleet.Unanswered
+	case ok:
+		outcome = fleet.Executed
+	}
 	if err != nil || r.Machine != c.machine {
-		h.log.Debug("direct call failed", "machine", c.machine, "error", err)
+		h.log.Debug("direct call failed", "machine", c.machine, "launches", len(c.launched), "error", err)
 		return
 	}
 	if r.Term <= h.held.Term {
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -12,6 +12,7 @@
 
 	"amberdeal.example/amberdeal/internal/claim"
 	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/fleet"
 	"amberdeal.example/amberdeal/internal/standin"
 	"amberdeal.example/amberdeal/internal/store"
 	"amberdeal.example/amberdeal/wire"
@@ -111,6 +112,8 @@
 		return b.round(w[1:])
 	case "taken": // the round that had no answer turns out to be in the store
 		b.commit()
+	case "direct":
+		return b.direct(w[1:])
 	case "rented":
 		b.holder.rented(b.now, b.holder.asks[w[1]], w[2:])
 	case "listed":
@@ -155,6 +158,27 @@
 	return out
 }
 
+// direct makes the direct calls that are due; the step says what becomes of
+// them.
+func (b *bench) direct(fate []string) []string {
+	var out []string
+	for _, c := range b.holder.calls(b.now, true, maxDirect) {
+		line := fmt.Sprintf("to %s, session %d:", c.machine, c.session)
+		for _, cmd := range c.commands {
+			line += fmt.Sprintf(" %s %s%s", cmd.Verb, cmd.Task, attempt(cmd.Attempt))
+		}
+		out = append(out, line)
+		switch fate[0] {
+		case "executed":
+			b.holder.fleet.Called(c.launched, fleet.Executed)
+		case "refused":
+			b.holder.fleet.Called(c.launched, fleet.Refused)
+		}
+		b.holder.called[c.machine] = called{at: b.now}
+	}
+	return out
+}
+
 // round decides one round. Its fate is to be taken, unless the step says that
 // it is refused or lost.
 func (b *bench) round(fate []string) []string {
@@ -213,6 +237,9 @@
 		for _, p := range m.Placements() {
 			line += fmt.Sprintf(" %v%s=%s", p.Task, attempt(p.Attempt),
 				[]string{"planned", "sent", "fetching", "waiting", "running", "saving", "ended"}[p.State])
+			if p.Loose() {
+				line += "(loose)"
+			}
 			if p.Stop != nil {
 				line += fmt.Sprintf("(stop, grace %v)", p.Stop.Grace)
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,7 @@
 	nodes               map[string]string // controllers, by name
 	check               *Checker
 	lease, every        time.Duration
+	late                func() time.Duration // by how much a direct call is held up, mostly 0
 
 	mu       sync.Mutex
 	ctx      context.Context
@@ -41,9 +42,9 @@
 }
 
 // NewWorker starts a worker.
-func NewWorker(n *Net, id, addr, typ, zone string, spot bool, nodes map[string]string, check *Checker, lease, every time.Duration) *Worker {
+func NewWorker(n *Net, id, addr, typ, zone string, spot bool, nodes map[string]string, check *Checker, lease, every time.Duration, late func() time.Duration) *Worker {
 	w := &Worker{id: id, addr: addr, typ: typ, zone: zone, spot: spot, host: n.Host(hostOf(addr)), nodes: nodes, check: check,
-		lease: lease, every: every, session: 1, answered: time.Now(), tasks: map[string]*running{}, soon: make(chan struct{}, 1)}
+		lease: lease, every: every, late: late, session: 1, answered: time.Now(), tasks: map[string]*running{}, soon: make(chan struct{}, 1)}
 	w.caller = w.host.caller()
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.node = slices.Sorted(maps.Keys(nodes))[0]
@@ -165,15 +166,28 @@
 		if err := wire.Decode(body, &d); err != nil || w.ctx.Err() != nil {
 			return 400, nil
 		}
-		if d.Term < w.term || d.Session != w.session {
-			return 409, w.report()
+		if held := w.late(); held > 0 { // delivered late, when nobody waits for the answer
+			time.AfterFunc(held, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.expire()
+				w.do(d)
+			})
+			return 0, nil
 		}
-		w.raise(d.Term)
-		w.execute(d.Commands)
-		return 200, w.report()
+		return w.do(d), w.report()
 	})
 }
 
+func (w *Worker) do(d wire.Direct) int {
+	if d.Term < w.term || d.Session != w.session || w.ctx.Err() != nil {
+		return 409
+	}
+	w.raise(d.Term)
+	w.execute(d.Commands)
+	return 200
+}
+
 func (w *Worker) execute(cmds []wire.Command) {
 	for _, c := range cmds {
 		id, err := wire.ParseTaskID(c.Task)
--- a/internal/transport/call.go
+++ b/internal/transport/call.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -26,6 +28,10 @@
 	idle map[string][]*outConn
 }
 
+// ErrNotSent means that the request was never sent: no connection came about,
+// and one that was given up does not complete later.
+var ErrNotSent = errors.New("not sent")
+
 type outConn struct {
 	net.Conn
 	r     *bufio.Reader
@@ -37,7 +43,7 @@
 func (c *Caller) Call(ctx context.Context, addr, method, target string, body []byte) (*httpwire.Response, error) {
 	conn, reused, err := c.take(ctx, addr)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	resp, err := c.exchange(ctx, conn, addr, method, target, body)
 	if err != nil && reused && method == "GET" && ctx.Err() == nil {
--- a/sim_test.go
+++ b/sim_test.go
@@ -46,6 +46,16 @@
 
 func newWorld(t *testing.T, seed uint64, lossy float64, tamper func(*config.Config)) *world {
 	w := &world{t: t, net: standin.NewNet(), store: standin.NewStore(seed, lossy), rand: rand.New(rand.NewPCG(seed, 2)), tamper: tamper}
+	late := rand.New(rand.NewPCG(seed, 5))
+	var mu sync.Mutex
+	heldUp := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if late.Float64() >= lossy {
+			return 0
+		}
+		return time.Duration(late.IntN(40000)+1) * time.Millisecond
+	}
 	w.check = standin.NewChecker(45*time.Second, map[string]float64{"red": 6})
 	w.ctx, w.stop = context.WithCancel(t.Context())
 	names := map[string]string{}
@@ -55,7 +65,7 @@
 	w.cloud = &standin.Cloud{Capacity: 4, Lag: 2 * time.Second, Boot: 5 * time.Second, Rand: rand.New(rand.NewPCG(seed, 3)),
 		Types: []wire.MachineType{{Name: "g4", CPUs: 16, GPUs: 4, MemoryGB: 64, CacheGB: 50, FetchGBps: 1, Price: 4, SpotPrice: 1, BootS: 5, Zones: []string{"a", "b"}}},
 		Start: func(id, addr, typ, zone string, spot bool) *standin.Worker {
-			return standin.NewWorker(w.net, id, addr, typ, zone, spot, names, w.check, workerLease, 2*time.Second)
+			return standin.NewWorker(w.net, id, addr, typ, zone, spot, names, w.check, workerLease, 2*time.Second, heldUp)
 		}}
 	go w.net.Host("10.2.0.1").Listen(w.ctx, "10.2.0.1:2379", 0, w.store.Serve())
 	go w.net.Host("10.2.0.2").Listen(w.ctx, "10.2.0.2:8443", 0, w.cloud.Serve())
