Resign when deaf, claim only when heard, no mass release of silent machines

Siblings now say how many machines they hear; the holder resigns when many are overdue here and report there, a deaf controller leaves a free part to one that is heard for up to 4 s, and machines that fall silent together are not released. Test: TestDeafHolderResigns fails without the resignation.

--- a/amberdeal.go
+++ b/amberdeal.go
@@ -80,7 +80,7 @@
 	s.keeper = &claim.Keeper{
 		Claim: claim.New(cfg.Name, cfg.Tuning.Lease, cfg.Tuning.Renew),
 		Parts: fleet.Parts(), Client: s.client, View: s.view, Follow: s.follow, Log: log,
-		Ready: func() bool { return s.machineTypes() != nil }, Changed: s.wake,
+		Ready: s.fit, Changed: s.wake,
 	}
 	s.mesh = &mesh.Mesh{Siblings: make(map[string]string), Beat: s.beat, Dial: net.Dial, Log: log}
 	for _, sib := range cfg.Siblings {
@@ -153,6 +153,7 @@
 	}
 	if h != nil {
 		h.Kick()
+		s.resignIfDeaf(ctx, h)
 		return
 	}
 	if !isHeld || s.view.Revision() < held.Revision && s.follow.Barrier(ctx) != nil {
@@ -178,6 +179,57 @@
 	}()
 }
 
+// patience is how long a free part is left to a sibling that hears the workers
+// better.
+const patience = 4 * time.Second
+
+// fit says whether this controller should claim a part that has been free for
+// some time. One that the workers can't reach leaves it to one that they can.
+func (s *Service) fit(free time.Duration) bool {
+	if s.machineTypes() == nil {
+		return false
+	}
+	mine := s.heard()
+	for _, b := range s.mesh.Last(3 * time.Second) {
+		if b.StoreOK && b.Heard > 2*mine+2 && free < patience {
+			return false
+		}
+	}
+	return true
+}
+
+// resignIfDeaf gives the claim up when many machines are silent here while they
+// report to a sibling that can take over: the way between the workers and this
+// controller is cut, and their leases run out.
+func (s *Service) resignIfDeaf(ctx context.Context, h *holding) {
+	silent := h.Unheard(time.Now())
+	if silent < 2 {
+		return
+	}
+	for name, b := range s.mesh.Last(3 * time.Second) {
+		if b.StoreOK && b.Heard >= (silent+1)/2 {
+			s.keeper.Resign(ctx, "workers reach "+name+", not this controller")
+			return
+		}
+	}
+}
+
+// heard counts the machines that have lately reported here.
+func (s *Service) heard() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for id, t := range s.reports {
+		switch age := time.Since(t); {
+		case age > time.Minute:
+			delete(s.reports, id)
+		case age < 2*s.cfg.Workers.Report:
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Service) end(part string, h *holding) {
 	h.stop()
 	s.mu.Lock()
@@ -269,20 +321,12 @@
 
 func (s *Service) beat() mesh.Beat {
 	at, failing := s.follow.Reached()
-	b := mesh.Beat{From: s.cfg.Name, StoreOK: !failing && time.Since(at) < 15*time.Second}
+	b := mesh.Beat{From: s.cfg.Name, StoreOK: !failing && time.Since(at) < 15*time.Second, Heard: s.heard()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range s.holders {
 		b.Term, b.Counts = h.Term(), h.Counts()
 	}
-	for id, t := range s.reports {
-		switch age := time.Since(t); {
-		case age > time.Minute:
-			delete(s.reports, id)
-		case age < 2*s.cfg.Workers.Report:
-			b.Heard++
-		}
-	}
 	return b
 }
 
--- a/internal/claim/run.go
+++ b/internal/claim/run.go
@@ -18,11 +18,14 @@
 	View   *store.View
 	Follow *store.Follower
 	Log    *slog.Logger
-	// Ready says whether this controller is fit to hold a part.
-	Ready func() bool
+	// Ready says whether this controller is fit to hold a part that has been
+	// free for so long.
+	Ready func(free time.Duration) bool
 	// Changed is called when a claim may have been won or lost.
 	Changed func()
 
+	free map[string]time.Time // parts that nobody holds, since when
+
 	mu sync.Mutex
 }
 
@@ -43,6 +46,9 @@
 		k.mu.Lock()
 		wait := time.Until(k.Claim.Due())
 		k.mu.Unlock()
+		if len(k.free) > 0 {
+			wait = min(wait, 300*time.Millisecond)
+		}
 		t := time.NewTimer(max(wait, 100*time.Millisecond))
 		select {
 		case <-ctx.Done():
@@ -144,7 +150,17 @@
 		_ = k.Follow.Barrier(ctx)
 		return
 	}
-	if known || held || !valid || !k.Ready() {
+	if known || held {
+		delete(k.free, part)
+		return
+	}
+	if k.free == nil {
+		k.free = make(map[string]time.Time)
+	}
+	if k.free[part].IsZero() {
+		k.free[part] = time.Now()
+	}
+	if !valid || !k.Ready(time.Since(k.free[part])) {
 		return
 	}
 	rev, err := k.Client.Txn(ctx, txn)
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -304,17 +304,8 @@
 // releaseOthers gives up machines that serve nobody: drained ones that are
 // empty, ones that never come up, and silent ones.
 func (h *Holder) releaseOthers(now time.Time) {
-	all := h.fleet.Machines()
-	var up, silent int
-	for _, m := range all {
-		if m.Up || m.Recorded {
-			up++
-			if h.silent(now, m) {
-				silent++
-			}
-		}
-	}
-	for _, m := range all {
+	up, quiet := h.reach(now)
+	for _, m := range h.fleet.Machines() {
 		busy := slices.ContainsFunc(m.Placements(), (*fleet.Placement).Active)
 		boot := h.typeOf(m.Type).BootS
 		switch {
@@ -322,20 +313,61 @@
 			h.giveUp(m, "drained")
 		case !m.Up && !m.Recorded && boot > 0 && now.Sub(m.Since) > wire.Seconds(4*boot)+20*time.Second:
 			h.giveUp(m, "it does not come up")
-		case (m.Up || m.Recorded) && h.silent(now, m) && silent*3 <= up:
-			// When many are silent, it is more likely this controller that
-			// can't be reached.
+		case (m.Up || m.Recorded) && !m.Releasing && h.silent(now, m) && quiet*3 <= up:
 			h.giveUp(m, "silent")
+			h.silenced = append(h.silenced, now)
+		}
+	}
+}
+
+// reach counts the machines that should be heard and those that are overdue. Ones
+// that were lately given up for their silence count as both: when many fall
+// silent, it is more likely that a network failed than that they all died, and
+// their tasks live on for as long as their leases.
+func (h *Holder) reach(now time.Time) (up, quiet int) {
+	h.silenced = slices.DeleteFunc(h.silenced, func(t time.Time) bool { return now.Sub(t) > h.cfg.Workers.Lease })
+	up, quiet = len(h.silenced), len(h.silenced)
+	for _, m := range h.fleet.Machines() {
+		if (m.Up || m.Recorded) && !m.Releasing {
+			up++
+			if h.quiet(now, m) > overdue(h.cfg.Workers.Report) {
+				quiet++
+			}
 		}
 	}
+	return up, quiet
+}
+
+// overdue is when the next report of a worker should have come, at the latest.
+func overdue(every time.Duration) time.Duration { return every * 7 / 5 }
+
+// Unheard reports how many machines this holder does not hear, if those are
+// too many for their own fault.
+func (h *Holder) Unheard(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if up, quiet := h.reach(now); quiet*3 <= up {
+		return 0
+	}
+	n := 0
+	for _, m := range h.fleet.Machines() {
+		if (m.Up || m.Recorded) && h.silent(now, m) {
+			n++
+		}
+	}
+	return n
 }
 
 func (h *Holder) silent(now time.Time, m *fleet.Machine) bool {
-	since := h.fleet.Claimed
-	if m.Heard.After(since) {
-		since = m.Heard
+	return h.quiet(now, m) > h.cfg.Tuning.Silence
+}
+
+// quiet tells for how long a machine has not been heard under this term.
+func (h *Holder) quiet(now time.Time, m *fleet.Machine) time.Duration {
+	if m.Heard.After(h.fleet.Claimed) {
+		return now.Sub(m.Heard)
 	}
-	return now.Sub(since) > h.cfg.Tuning.Silence
+	return now.Sub(h.fleet.Claimed)
 }
 
 func (h *Holder) typeOf(name string) wire.MachineType {
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -61,6 +61,7 @@
 	kickDirect   chan struct{}
 	called       map[string]called
 	rebuilt      bool
+	silenced     []time.Time // when machines were given up for their silence
 	typesChanged bool
 }
 
--- a/sim_test.go
+++ b/sim_test.go
@@ -287,3 +287,32 @@
 		}
 	})
 }
+
+// TestDeafHolderResigns cuts each controller from the workers in turn, for
+// longer than their lease: whoever holds the fleet gives it up to one that the
+// workers reach, and no task is lost.
+func TestDeafHolderResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 9, 0, nil)
+		w.user(&wire.Job{ID: "wk-1", Class: "c", Team: "blue", Shape: wire.Service, Priority: wire.Production, Tasks: 6,
+			CPUs: 2, GPUs: 2, MemoryGB: 8, Image: "img", ImageGB: 1}, 24*time.Hour, 4*time.Minute)
+		time.Sleep(30 * time.Second)
+		for i := range 3 {
+			for m := range 8 {
+				w.net.Cut(w.ip(i), strings.Split(w.cloud.Addr(m), ":")[0], true)
+			}
+			time.Sleep(2 * workerLease)
+			for m := range 8 {
+				w.net.Cut(w.ip(i), strings.Split(w.cloud.Addr(m), ":")[0], false)
+			}
+			time.Sleep(15 * time.Second)
+		}
+		if w.check.Started != 6 {
+			t.Errorf("%d starts of 6 tasks: some were lost", w.check.Started)
+		}
+		w.finish(10 * time.Minute)
+		for _, b := range w.check.Broken() {
+			t.Error(b)
+		}
+	})
+}
