Record placements with the machine; a takeover waits only for what is silent

A round now names, in the records of the machines it launches on, the tasks that may be there; 4 s after the claim only those wait, and count against limits and zones. Ordinary takeovers still rebuild first (0.3 s).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -169,11 +169,28 @@
 	return m
 }
 
-// Recall adds a machine that the store recorded: earlier holders may have
-// placed tasks on it.
-func (f *Fleet) Recall(now time.Time, id, addr, typ, zone string, spot bool) {
+// Recall adds a machine that the store recorded, with the tasks that earlier
+// holders may have placed on it. They count as there until one of the proofs
+// shows that they are not.
+func (f *Fleet) Recall(now time.Time, id, addr, typ, zone string, spot bool, tasks map[string]uint64) {
 	m := f.Know(now, id, typ, zone, spot)
 	m.Addr, m.proven, m.Recorded = addr, false, true
+	for name, attempt := range tasks {
+		if t, err := wire.ParseTaskID(name); err == nil {
+			f.add(m, &Placement{Task: t, Attempt: attempt, Machine: id, State: Fetching, Committed: true, Placed: now})
+		}
+	}
+}
+
+// May names every attempt that is or may yet be on the machine.
+func (m *Machine) May() map[string]uint64 {
+	out := make(map[string]uint64)
+	for _, p := range m.placements {
+		if p.Active() || p.loose {
+			out[p.Task.String()] = max(out[p.Task.String()], p.Attempt)
+		}
+	}
+	return out
 }
 
 // Machine looks a machine up.
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -231,8 +231,8 @@
 		h.typesChanged = false
 	}
 	for _, m := range h.fleet.Machines() {
-		if m.Up && !m.Recorded && ops > 0 {
-			put(wire.Change{Put: store.MachineKey(m.ID), Value: store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot}})
+		if m.Up && !m.Recorded && !h.dropMachines[m.ID] && ops > 0 {
+			put(wire.Change{Put: store.MachineKey(m.ID), Value: record(m)})
 			d.records = append(d.records, m.ID)
 		}
 	}
@@ -251,34 +251,17 @@
 	return ops
 }
 
+// record is what the store keeps of a machine.
+func record(m *fleet.Machine) store.MachineRecord {
+	return store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Tasks: m.May()}
+}
+
 // plan lets sched choose and turns its plan into the draft.
 func (h *Holder) plan(now time.Time, d *Draft, ops int) {
 	pic := h.picture(now)
 	pic.Tasks = h.cfg.Tuning.RoundTasks
 	plan := sched.Choose(pic)
-	conditions := 4*h.cfg.Store.TxnOps - 2 - len(d.Txn.If)
-	guarded := make(map[string]uint64)
-	for _, c := range d.Txn.If {
-		guarded[c.Key] = 1
-	}
-	for _, l := range plan.Launches {
-		key := store.JobKey(l.Job.ID)
-		if guarded[key] == 0 {
-			if conditions == 0 {
-				break // launches of one job come together: the next round takes the rest
-			}
-			conditions--
-			d.Txn.If = append(d.Txn.If, wire.Condition{Key: key, Version: h.live[l.Job.ID].Version})
-		}
-		if guarded[key] < 2 || l.Job.Shape != wire.Gang {
-			// Unique without storage; the tasks of a gang share one attempt.
-			h.sequence++
-			guarded[key] = h.held.Term<<24 | h.sequence
-		}
-		p := h.fleet.Place(now, h.fleet.Machine(l.Machine), wire.TaskID{Job: l.Job.ID, Index: l.Index}, guarded[key])
-		d.launches = append(d.launches, p)
-		h.log.Debug("placed", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "round", d.Number)
-	}
+	ops = h.launch(now, d, plan.Launches, ops)
 	for _, s := range plan.Stops {
 		if p := h.fleet.Active(wire.TaskID{Job: s.Job.ID, Index: s.Index}); p != nil {
 			h.stop(now, p, s.Job.Job, s.Why)
@@ -301,6 +284,60 @@
 	h.releaseOthers(now)
 }
 
+// taskBytes bounds what one task takes in a machine's record.
+const taskBytes = 40
+
+// launch places tasks as far as the transaction has room: a condition for each
+// job, and a change for each machine, whose record names what may be there. The
+// rest is decided again in the next round; a gang is never split.
+func (h *Holder) launch(now time.Time, d *Draft, launches []sched.Launch, ops int) int {
+	conditions := 4*h.cfg.Store.TxnOps - 2 - len(d.Txn.If)
+	guarded, touched := make(map[string]bool), make(map[string]bool)
+	for _, c := range d.Txn.If {
+		guarded[c.Key] = true
+	}
+	for len(launches) > 0 {
+		n := 1
+		for launches[0].Job.Shape == wire.Gang && n < len(launches) && launches[n].Job == launches[0].Job {
+			n++
+		}
+		group := launches[:n]
+		launches = launches[n:]
+		key := store.JobKey(group[0].Job.ID)
+		fresh := make(map[string]bool)
+		full := false
+		for _, l := range group {
+			if !touched[l.Machine] {
+				fresh[l.Machine] = true
+			}
+			full = full || len(h.fleet.Machine(l.Machine).Placements())+n > h.cfg.Store.ValueBytes/taskBytes
+		}
+		if full || len(fresh) > ops || !guarded[key] && conditions == 0 {
+			continue
+		}
+		ops -= len(fresh)
+		for id := range fresh {
+			touched[id] = true
+		}
+		if !guarded[key] {
+			guarded[key] = true
+			conditions--
+			d.Txn.If = append(d.Txn.If, wire.Condition{Key: key, Version: h.live[group[0].Job.ID].Version})
+		}
+		// Unique without storage; the tasks of a gang share one attempt.
+		h.sequence++
+		for _, l := range group {
+			p := h.fleet.Place(now, h.fleet.Machine(l.Machine), wire.TaskID{Job: l.Job.ID, Index: l.Index}, h.held.Term<<24|h.sequence)
+			d.launches = append(d.launches, p)
+			h.log.Debug("placed", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "round", d.Number)
+		}
+	}
+	for _, id := range sortedKeys(touched) {
+		d.Txn.Then = append(d.Txn.Then, wire.Change{Put: store.MachineKey(id), Value: record(h.fleet.Machine(id))})
+	}
+	return ops
+}
+
 // releaseOthers gives up machines that serve nobody: drained ones that are
 // empty, ones that never come up, and silent ones.
 func (h *Holder) releaseOthers(now time.Time) {
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -84,7 +84,7 @@
 	}
 	for id, m := range snap.Machines {
 		if fleet.PartOf(m.Zone, m.Type) == held.Part {
-			h.fleet.Recall(now, id, m.Addr, m.Type, m.Zone, m.Spot)
+			h.fleet.Recall(now, id, m.Addr, m.Type, m.Zone, m.Spot, m.Tasks)
 		}
 	}
 	for name, a := range snap.Asks {
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -45,7 +45,7 @@
 		h.rebuilt = true
 		h.log.Info("rebuilt", "after", now.Sub(h.fleet.Claimed), "machines", len(h.fleet.Machines()))
 	}
-	jobs := h.pictureJobs(now, len(unproven) > 0)
+	jobs := h.pictureJobs(now, len(unproven) > 0 && now.Sub(h.fleet.Claimed) < rebuildWait)
 	for _, m := range h.fleet.Machines() {
 		pic.Machines = append(pic.Machines, h.pictureMachine(now, m, jobs, pic.Teams))
 	}
@@ -56,14 +56,6 @@
 				Booting: true, Free: size(h.typeOf(a.offer.Type))})
 		}
 	}
-	for _, m := range unproven {
-		// What it may run is unknown: it counts in whole against every limit.
-		s := size(h.typeOf(m.Type))
-		for _, t := range pic.Teams {
-			t.UsedCPUs += s.CPUs
-			t.UsedGPUs += s.GPUs
-		}
-	}
 	if !h.rebuilt {
 		pic.Idle = time.Hour
 	}
@@ -77,8 +69,13 @@
 	return sched.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
 }
 
-// pictureJobs lists the live jobs with the tasks that may be placed. While a
-// machine is unproven, only jobs from after the claim can't be anywhere yet.
+// rebuildWait is for how long a new holder waits for every machine's report
+// before it places anything that may be running. After that, a machine that is
+// silent still holds back the tasks that its record names.
+const rebuildWait = 4 * time.Second
+
+// pictureJobs lists the live jobs with the tasks that may be placed. While the
+// fleet is being rebuilt, only jobs from after the claim can't be anywhere yet.
 func (h *Holder) pictureJobs(now time.Time, rebuilding bool) map[string]*sched.Job {
 	jobs := make(map[string]*sched.Job, len(h.live))
 	for id, l := range h.live {
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -76,12 +76,14 @@
 	return JobRecord{Stage: stage, Tasks: r.Tasks, Takes: r.TaskTakes()}
 }
 
-// MachineRecord is what a new holder must know of a machine.
+// MachineRecord is what a new holder must know of a machine. Tasks names every
+// attempt that may be there: it is written in the round that launches them.
 type MachineRecord struct {
-	Addr string `cbor:"addr,omitempty"`
-	Type string `cbor:"type"`
-	Zone string `cbor:"zone"`
-	Spot bool   `cbor:"spot"`
+	Tasks map[string]uint64 `cbor:"tasks,omitempty"`
+	Addr  string            `cbor:"addr,omitempty"`
+	Type  string            `cbor:"type"`
+	Zone  string            `cbor:"zone"`
+	Spot  bool              `cbor:"spot"`
 }
 
 // AskRecord is the intent of a rental.
