Stay ready in an outage that all share

Cause: controllers that restarted during an outage of the state service were unready for all of it, and the balancer brought them back late. Kept: users are told when to come back instead of finding nobody.

--- a/amberdeal.go
+++ b/amberdeal.go
@@ -48,6 +48,7 @@
 	mesh    *mesh.Mesh
 	desk    *user.Desk
 	changed chan struct{}
+	begun   time.Time
 
 	mu      sync.Mutex
 	holders map[string]*holding
@@ -70,7 +71,7 @@
 
 func newOn(net transport.Network, cfg *Config, log *slog.Logger) *Service {
 	shares := len(cfg.Siblings) + 1
-	s := &Service{cfg: cfg, log: log, net: net, changed: make(chan struct{}, 1),
+	s := &Service{cfg: cfg, log: log, net: net, changed: make(chan struct{}, 1), begun: time.Now(),
 		holders: make(map[string]*holding), reports: make(map[string]time.Time)}
 	s.client = store.NewClient(net, cfg.StoreAddr, cfg.Store.RPS, cfg.Store.WriteRPS, shares, log)
 	s.view = store.NewView(log)
@@ -331,14 +332,12 @@
 }
 
 // ready says whether users are served here. A controller that alone can't
-// reach the store steps aside; in an outage that all share nothing is gained
-// by it, and coming back costs time.
+// reach the store steps aside. In an outage that all share it stays: users get
+// the same answer everywhere, and a controller that was taken out is brought
+// back late, the later the more often that happens.
 func (s *Service) ready() bool {
-	if !s.view.Loaded() || s.machineTypes() == nil {
-		return false
-	}
 	at, failing := s.follow.Reached()
-	if !failing || time.Since(at) < 2*time.Second {
+	if s.view.Loaded() && (!failing || time.Since(at) < 2*time.Second) {
 		return true
 	}
 	for _, b := range s.mesh.Last(3 * time.Second) {
@@ -346,5 +345,8 @@
 			return false
 		}
 	}
-	return true
+	return time.Since(s.begun) > loadTime
 }
+
+// loadTime is how long loading the view may take where the store answers.
+const loadTime = 2 * time.Second
