--- a/amberdeal.go
+++ b/amberdeal.go
@@ -261,8 +261,7 @@
 	s.mu.Unlock()
 	// A holder that can't renew goes on answering, without launches, but no
 	// longer than a cancelled task may live.
-	linger := max(0, s.cfg.Workers.Cancel-s.cfg.Workers.Lease-5*time.Second)
-	if h != nil && isHeld && h.claim.Version == held.Version && r.Term <= held.Term && (valid || now.Sub(confirmed) < linger) {
+	if h != nil && isHeld && h.claim.Version == held.Version && r.Term <= held.Term && (valid || now.Sub(confirmed) < round.Linger(s.cfg)) {
 		a := h.Report(now, r, valid)
 		return worker.Verdict{Answer: &a}
 	}
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -65,10 +65,10 @@
 	typesChanged bool
 }
 
-// linger bounds how long after its last confirmed renewal a holder answers
+// Linger bounds how long after its last confirmed renewal a holder answers
 // reports: tasks live through an outage of the store, but a holder that is cut
 // off must not keep a cancelled task alive for longer than is allowed.
-func linger(c *config.Config) time.Duration {
+func Linger(c *config.Config) time.Duration {
 	return max(0, c.Workers.Cancel-c.Workers.Lease-5*time.Second)
 }
 
@@ -77,7 +77,7 @@
 	lookup func(string) (store.JobRecord, bool), now time.Time, log *slog.Logger) *Holder {
 	h := &Holder{
 		cfg: cfg, held: held, log: log.With("part", held.Part, "term", held.Term), lookup: lookup,
-		fleet: fleet.New(held.Term, now, cfg.Workers.Lease, linger(cfg), cfg.Cloud.ListLag),
+		fleet: fleet.New(held.Term, now, cfg.Workers.Lease, Linger(cfg), cfg.Cloud.ListLag),
 		types: types, round: last.Record.Round, roundVersion: last.Version,
 		jobs: map[string]*history{}, asks: map[string]*ask{}, dropAsks: map[string]bool{}, dropMachines: map[string]bool{},
 		release: map[string]bool{}, refused: map[sched.Offer]refusal{}, kick: make(chan struct{}, 1), kickDirect: make(chan struct{}, 1), called: map[string]called{},
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -645,6 +645,9 @@
 			continue
 		}
 		v, c := pl.victims(j, need, m)
+		if !m.Images[j.Image] { // the room stands empty while the image comes
+			c += pl.fetch(j).Seconds() * (need.GPUs + need.CPUs/16)
+		}
 		if v != nil && c < cost {
 			best, victims, cost = m, v, c
 		}
