--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -54,8 +54,10 @@
 	return &Client{addr: addr, caller: &transport.Caller{Limit: 32 << 20, Dial: net.Dial}, reads: share(rps), writes: share(writeRPS), log: log}
 }
 
-// patience bounds an ordinary call; answers mostly come within 10 ms.
-const patience = 1500 * time.Millisecond
+// patience bounds an ordinary call. Answers mostly come within 10 ms, but a
+// service that takes 2 s for each must still be of use: giving up sooner makes
+// an outage of its slowness.
+const patience = 2500 * time.Millisecond
 
 func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration) (*httpwire.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
