Give up after 4 s what a new holder's calls never reach

Cause: after a takeover that coincides with dead machines, their replicas waited for 7 s more. Kept: a holder that calls every machine itself needs no second missing report.

--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -367,7 +367,7 @@
 	for _, m := range h.fleet.Machines() {
 		if (m.Up || m.Recorded) && !m.Releasing {
 			up++
-			if h.quiet(now, m) > overdue(h.cfg.Workers.Report) {
+			if h.quiet(now, m) > min(rebuildWait, overdue(h.cfg.Workers.Report)) {
 				quiet++
 			}
 		}
@@ -395,7 +395,13 @@
 	return n
 }
 
+// silent reports whether a machine has been quiet for too long. One that was
+// never heard under the term has been called directly since the claim, so that
+// its silence says more.
 func (h *Holder) silent(now time.Time, m *fleet.Machine) bool {
+	if m.Heard.IsZero() {
+		return now.Sub(h.fleet.Claimed) > min(rebuildWait, h.cfg.Tuning.Silence)
+	}
 	return h.quiet(now, m) > h.cfg.Tuning.Silence
 }
 
