A report from below the term proves no recorded launch absent

Cause, seen in the log of a takeover: the first report of a recalled machine counted as a later session than none, so that all recorded placements were taken as gone, although the report may be older than a launch. Until the machine is seen at the term only time or the cloud proves them gone.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,9 @@
 	// It may be executed as long as the session lasts, so that the attempt is
 	// neither taken back nor cleared.
 	loose bool
+	// recalled: the store names it, from before the term. Nothing is known of
+	// its session, so that only a report at the term shows it gone.
+	recalled bool
 }
 
 // Stop is the order to stop a placement.
@@ -177,7 +180,7 @@
 	m.Addr, m.proven, m.Recorded = addr, false, true
 	for name, attempt := range tasks {
 		if t, err := wire.ParseTaskID(name); err == nil {
-			f.add(m, &Placement{Task: t, Attempt: attempt, Machine: id, State: Fetching, Committed: true, Placed: now})
+			f.add(m, &Placement{Task: t, Attempt: attempt, Machine: id, State: Fetching, Committed: true, Placed: now, recalled: true})
 		}
 	}
 }
@@ -294,7 +297,7 @@
 		for _, p := range m.Placements() {
 			// Proof 2: the worker has forgotten all tasks of earlier sessions,
 			// and executes nothing that was sent for one.
-			if p.State != Planned || p.loose {
+			if (p.State != Planned || p.loose) && (m.AtTerm || !p.recalled) {
 				f.remove(m, p)
 				events = append(events, Event{p, true})
 			}
