Bound slow requests and unread answers

A peer that sends a byte now and then held a connection for ever, and one that asks without reading let answers pile up. A request now has 10 s to come in whole, and 256 KiB of unread answers end a connection.

--- a/internal/transport/listen.go
+++ b/internal/transport/listen.go
@@ -23,6 +23,12 @@
 // maxPending bounds the bytes of a connection that wait for its goroutine.
 const maxPending = 128 << 10
 
+// maxUnread bounds the bytes of a connection that wait for its peer.
+const maxUnread = 256 << 10
+
+// requestTime bounds how long one request may take to come in whole.
+const requestTime = 10 * time.Second
+
 // Conn is an accepted connection: gnet's loop fills it, its goroutine reads
 // and writes it.
 type Conn struct {
@@ -77,12 +83,21 @@
 	if closed {
 		return 0, io.ErrClosedPipe
 	}
-	if err := c.conn.AsyncWrite(append([]byte(nil), p...), nil); err != nil {
+	if err := c.conn.AsyncWrite(append([]byte(nil), p...), closeUnread); err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
+// closeUnread ends a connection whose peer asks and asks and reads no answers,
+// which would pile up here. The loop calls it after each write.
+func closeUnread(c gnet.Conn, err error) error {
+	if err == nil && c.OutboundBuffered() > maxUnread {
+		return c.Close()
+	}
+	return nil
+}
+
 // Close ends the connection after what was written.
 func (c *Conn) Close() error { return c.conn.Close() }
 
@@ -246,7 +261,8 @@
 type Handler func(ctx context.Context, r *httpwire.Request) *httpwire.Response
 
 // HTTP serves requests, one after the other, on a connection. A peer that is
-// idle, slow or silent for longer than idle is closed.
+// silent for longer than idle, or slower with one request than requestTime, is
+// closed.
 func HTTP(limit int64, idle time.Duration, h Handler) ServeConn {
 	return func(ctx context.Context, c Stream) {
 		c.SetIdle(idle)
@@ -254,7 +270,12 @@
 		defer stop()
 		r := bufio.NewReaderSize(c, 4<<10)
 		for {
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			slow := time.AfterFunc(requestTime, func() { c.Close() })
 			req, err := httpwire.ReadRequest(r, limit)
+			slow.Stop()
 			var fault *httpwire.Error
 			switch {
 			case errors.As(err, &fault):
