Count only on images that fit a machine's cache

Cause: images were taken as held for ever, though a machine keeps only the most recently used ones that fit. Test: TestHolds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -108,7 +109,7 @@
 	Faults               map[string]int // jobs that failed here
 	IdleSince            time.Time
 	Listed               time.Time // when the cloud first listed it
-	Images               map[string]time.Time
+	images               map[string]cached
 
 	Session    uint64
 	seq        uint64 // of the newest message
@@ -117,6 +118,31 @@
 	placements map[placementKey]*Placement
 }
 
+// cached is an image that a machine should hold.
+type cached struct {
+	gb   float64
+	used time.Time
+}
+
+// Use notes that a task on the machine uses an image.
+func (m *Machine) Use(now time.Time, image string, gb float64) { m.images[image] = cached{gb, now} }
+
+// Holds tells which images the machine should still hold: the most recently
+// used ones that fit its cache together.
+func (m *Machine) Holds(cacheGB float64) map[string]bool {
+	names := slices.SortedFunc(maps.Keys(m.images), func(a, b string) int {
+		return cmp.Or(m.images[b].used.Compare(m.images[a].used), cmp.Compare(a, b))
+	})
+	out := make(map[string]bool, len(names))
+	for _, name := range names {
+		if cacheGB -= m.images[name].gb; cacheGB < 0 {
+			break
+		}
+		out[name] = true
+	}
+	return out
+}
+
 // Placements lists what is or may be on the machine, in a fixed order.
 func (m *Machine) Placements() []*Placement {
 	out := make([]*Placement, 0, len(m.placements))
@@ -166,7 +192,7 @@
 	if m == nil {
 		delete(f.buried, id)
 		m = &Machine{ID: id, Type: typ, Zone: zone, Spot: spot, Since: now, IdleSince: now,
-			Images: map[string]time.Time{}, Faults: map[string]int{}, placements: map[placementKey]*Placement{}, proven: true}
+			images: map[string]cached{}, Faults: map[string]int{}, placements: map[placementKey]*Placement{}, proven: true}
 		f.machines[id] = m
 	}
 	return m
@@ -303,7 +329,7 @@
 			}
 		}
 		m.Session, m.seq, m.reportSeq = r.Session, 0, 0
-		m.Images = map[string]time.Time{}
+		m.images = map[string]cached{}
 	}
 	m.seq = r.Seq
 	m.Addr, m.Heard = r.Addr, now
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -104,7 +104,7 @@
 
 func (h *Holder) pictureMachine(now time.Time, m *fleet.Machine, jobs map[string]*sched.Job, teams map[string]*sched.Team) *sched.Machine {
 	t := h.typeOf(m.Type)
-	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t), Images: map[string]bool{}}
+	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t)}
 	serves := m.Draining == "" && !m.Releasing && m.Notice.IsZero()
 	heard := m.Up && now.Sub(m.Heard) < fresh
 	s.Usable = serves && heard && m.AtTerm && m.Recorded
@@ -113,14 +113,7 @@
 	s.Booting = serves && !s.Usable && (heard || !m.Up && !m.Recorded)
 	busy := false
 	for _, p := range m.Placements() {
-		l := h.live[p.Task.Job]
-		if l != nil {
-			m.Images[l.Record.Job.Image] = now
-		}
 		if !p.Active() {
-			if l != nil {
-				s.Images[l.Record.Job.Image] = true
-			}
 			continue
 		}
 		busy = true
@@ -136,6 +129,7 @@
 			team.UsedGPUs += takes.GPUs
 		}
 		if j := jobs[p.Task.Job]; j != nil {
+			m.Use(now, j.Image, j.ImageGB)
 			j.Active++
 			j.InZone[m.Zone]++
 			if p.Stop != nil {
@@ -148,9 +142,7 @@
 			s.Tasks = append(s.Tasks, sched.Task{Job: j, Index: p.Task.Index, Ran: ran, Stopping: p.Stop != nil})
 		}
 	}
-	for image := range m.Images {
-		s.Images[image] = true
-	}
+	s.Images = m.Holds(t.CacheGB)
 	if busy {
 		m.IdleSince = now
 	}
