--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -353,6 +353,15 @@
 		if m == nil {
 			break
 		}
+		if !m.Images[j.Image] {
+			if soon := pl.nearImage(j, need); soon != nil {
+				pl.occupy(j, soon)
+				j.InZone[soon.Zone]++
+				team.use(need)
+				waiting = waiting[1:]
+				continue
+			}
+		}
 		pl.launch(j, waiting[0], m)
 		team.use(need)
 		waiting = waiting[1:]
@@ -370,6 +379,36 @@
 	}
 }
 
+// longFetch is a fetch that takes longer than lesser work takes to end.
+const longFetch = 6 * time.Second
+
+// nearImage makes room for a production task where its image is, rather than
+// have it wait for a long fetch beside others; nil means that there is none.
+// Its replicas would be away for that fetch, which is longer still when
+// several images come to one machine at once.
+func (pl *planner) nearImage(j *Job, need Amount) *Machine {
+	if j.Priority != wire.Production || pl.fetch(j) < longFetch {
+		return nil
+	}
+	ok := func(m *Machine) bool {
+		return m.Images[j.Image] && !j.Avoid[m.ID] && pl.allowed(j, m.Type, m.Zone, m.Spot) && zoneOpen(j, j.InZone, m.Zone)
+	}
+	if m := pl.stoppingRoom(need, ok); m != nil {
+		return m
+	}
+	return pl.preempt(j, need, ok)
+}
+
+// stoppingRoom finds a machine that has room once what is stopping is gone.
+func (pl *planner) stoppingRoom(need Amount, ok func(*Machine) bool) *Machine {
+	for _, m := range pl.Machines {
+		if m.Usable && ok(m) && m.Free.Plus(stopping(m), 1).Fits(need) {
+			return m
+		}
+	}
+	return nil
+}
+
 func (pl *planner) launch(j *Job, index int, m *Machine) {
 	pl.plan.Launches = append(pl.plan.Launches, Launch{j, index, m.ID})
 	pl.Tasks--
@@ -541,10 +580,8 @@
 	ok := func(m *Machine) bool {
 		return !j.Avoid[m.ID] && pl.allowed(j, m.Type, m.Zone, m.Spot) && zoneOpen(j, in, m.Zone)
 	}
-	for _, m := range pl.Machines {
-		if m.Usable && ok(m) && m.Free.Plus(stopping(m), 1).Fits(need) {
-			return m
-		}
+	if m := pl.stoppingRoom(need, ok); m != nil {
+		return m
 	}
 	if m := pl.preempt(j, need, ok); m != nil {
 		return m
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -114,3 +114,24 @@
 		t.Errorf("n-2 is the roomiest: %+v", plan.Launches)
 	}
 }
+
+// TestNearImage makes room for a replica where its image is, rather than have
+// it wait for a long fetch on an empty machine.
+func TestNearImage(t *testing.T) {
+	low, top := job("wk-1", wire.Array, wire.Normal, 1), job("wk-2", wire.Service, wire.Production, 1, 0)
+	top.ImageGB = 10
+	full := func() *Machine {
+		m := machine("n-1", "a", Task{Job: low}, Task{Job: low, Index: 1}, Task{Job: low, Index: 2}, Task{Job: low, Index: 3})
+		m.Images["img"] = true
+		return m
+	}
+	plan := Choose(picture([]*Job{low, top}, full(), machine("n-2", "a")))
+	if len(plan.Launches) != 0 || len(plan.Stops) != 1 || plan.Stops[0].Machine != "n-1" {
+		t.Errorf("launches %+v, stops %+v", plan.Launches, plan.Stops)
+	}
+	// A short fetch is not worth anybody's work.
+	top.ImageGB, top.InZone = 1, map[string]int{}
+	if plan := Choose(picture([]*Job{low, top}, full(), machine("n-2", "a"))); len(plan.Launches) != 1 || len(plan.Stops) != 0 {
+		t.Errorf("launches %+v, stops %+v", plan.Launches, plan.Stops)
+	}
+}
