Answers to workers: one bound for every pair of times; a stop in the first answer; no lease kept for a launch on its way

Cause, found by reading the chain from a confirmation to the last task: - what a holder knows of cancellations was allowed to be 8 s old even where lease_s and cancel_s leave less (leastKnows), so that with small differences a task could outlive its cancellation. The bound now follows from the two times alone (Workers.Linger), watches are shorter where it is small, and a difference under 4 s is refused by name. - a new holder could answer a machine's first report before it had compared it with the jobs: a task cancelled long ago lived for another lease if the holder ended right after. What a report shows first is now stopped by its own answer. - while the cloud takes no release, a machine to which the launch of a cancelled task was still on its way had its lease kept for ever, and the launch could be executed long after. Answers end in time, and the release is asked for sooner.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -69,6 +69,18 @@
 	Report, Lease, GangWait, GangPeer, Cancel time.Duration
 }
 
+// LeastRoom is what must lie between a worker's lease and the time for a cancellation.
+const LeastRoom = 4 * time.Second
+
+// Linger is how old what a controller knows of cancellations may be when it answers a
+// worker. The answer lets tasks live for another lease, so that a cancellation that was
+// confirmed just after is kept within its time by what is left of that: less the drift of two
+// clocks over the whole, and a margin for timers that fire late.
+func (w Workers) Linger() time.Duration {
+	room := w.Cancel - w.Lease
+	return max(0, room-min(5*time.Second, room/4)-w.Cancel/1000)
+}
+
 // Store holds the limits of the state service.
 type Store struct {
 	RPS, WriteRPS float64
@@ -311,7 +323,8 @@
 	f.check(w.LeaseS > w.ReportS, "params.workers.lease_s", w.LeaseS, "more than report_s")
 	f.positive("params.workers.gang_wait_s", w.GangWaitS)
 	f.positive("params.workers.gang_peer_s", w.GangPeerS)
-	f.check(w.CancelS > w.LeaseS, "params.workers.cancel_s", w.CancelS, "more than lease_s")
+	f.check(w.CancelS >= w.LeaseS+LeastRoom.Seconds(), "params.workers.cancel_s", w.CancelS,
+		fmt.Sprintf("lease_s and %v s more, or an answer could keep a cancelled task for longer", LeastRoom.Seconds()))
 	s := p.Params.State
 	f.positive("params.state.rps", s.RPS)
 	f.positive("params.state.write_rps", s.WriteRPS)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -45,6 +46,38 @@
 	}
 }
 
+// TestCancellationsFit: for each pair of times that is let in, what is left after the last
+// answer, a worker's lease and the drift of both clocks lies within the time for a
+// cancellation, and a controller whose view is a watch old still answers. Others are refused by name.
+func TestCancellationsFit(t *testing.T) {
+	good, err := os.ReadFile("testdata/good.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for lease := 4 * time.Second; lease < 10*time.Minute; lease += (lease/3 + time.Second).Truncate(time.Second) {
+		for _, room := range []time.Duration{-time.Second, 0, time.Second, 3900 * time.Millisecond, LeastRoom, 5 * time.Second, 7 * time.Second, 12 * time.Second, 25 * time.Second, time.Minute} {
+			text := strings.Replace(string(good), `"lease_s": 30`, fmt.Sprintf(`"lease_s": %v`, lease.Seconds()), 1)
+			text = strings.Replace(text, `"cancel_s": 60`, fmt.Sprintf(`"cancel_s": %v`, (lease+room).Seconds()), 1)
+			c, err := Parse([]byte(text))
+			if room < LeastRoom {
+				if err == nil || !strings.Contains(err.Error(), "params.workers.cancel_s:") {
+					t.Errorf("lease %v, cancel %v: %v", lease, lease+room, err)
+				}
+				continue
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			const drift = 0.0005
+			linger := c.Workers.Linger()
+			last := time.Duration(float64(linger+lease) * (1 + drift) / (1 - drift))
+			if last+500*time.Millisecond > c.Workers.Cancel || linger < 2*time.Second {
+				t.Errorf("lease %v, cancel %v: answers for %v, the last task gone after %v", lease, c.Workers.Cancel, linger, last)
+			}
+		}
+	}
+}
+
 // TestTuning: the operators' file is read, and its unknown keys are refused.
 func TestTuning(t *testing.T) {
 	tune := DefaultTuning()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,6 +84,7 @@
 	c.history = history.NewReader(c.client, cfg.Tuning.History.CacheMB<<20/cfg.Store.ValueBytes, log)
 	c.view.Blocks = c.history
 	c.follow = store.NewFollower(c.client, c.view, log)
+	c.follow.Watch = store.WatchFor(cfg.Workers.Linger())
 	c.cloud = cloud.New(network, cfg.CloudAddr, cfg.Cloud.RPS*0.85)
 	c.workers = worker.NewClient(network, cfg.Limits.Files/16)
 	c.keeper = &claim.Keeper{
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -114,8 +114,9 @@
 	// A holder that can't renew goes on answering, without launches, but no
 	// longer than a cancelled task may live.
 	if h != nil && isHeld && h.claim.Version == held.Version && r.Term <= held.Term && h.Entitled(now, valid, confirmed) {
-		a := h.Report(now, r, valid)
-		return worker.Verdict{Answer: &a}, true
+		if a, ok := h.Report(now, r, valid); ok {
+			return worker.Verdict{Answer: &a}, true
+		}
 	}
 	return worker.Verdict{}, false
 }
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -266,8 +266,12 @@
 		h.log.Debug("stopping", "task", p.Task, "machine", p.Machine, "why", "job is over")
 	}
 	// A machine that can't be reached, or to which a launch may still be on its
-	// way, is released before the time is up.
-	if now.Sub(j.ended) > h.cfg.Workers.Cancel-15*time.Second && (now.Sub(m.Heard) > h.times.direct || p.Loose()) {
+	// way, is released before the time is up. While the cloud does not take that, the
+	// launch is kept from being executed by a lease that no answer renews (keepsOver).
+	switch age := now.Sub(j.ended); {
+	case p.Loose() && age > h.cfg.Workers.Linger()/2:
+		h.giveUp(m, "the launch of a cancelled task may still be on its way there")
+	case age > h.cfg.Workers.Cancel-15*time.Second && now.Sub(m.Heard) > h.times.direct:
 		h.giveUp(m, "it may run a task of a cancelled job, and is silent")
 	}
 }
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -130,16 +131,9 @@
 		overdue: c.Workers.Report * 7 / 5, silence: c.Silence()}
 }
 
-// Linger bounds how long after its last confirmed renewal a holder answers
-// reports: tasks live through an outage of the store, but a holder that is cut
-// off must not keep a cancelled task alive for longer than is allowed.
-func Linger(c *config.Config) time.Duration {
-	return max(0, c.Workers.Cancel-c.Workers.Lease-5*time.Second)
-}
-
 // answers bounds how long after its last confirmed renewal a holder answers at all. Siblings
 // may end its lease at any time after that renewal, so that a claim may follow at once.
-func answers(c *config.Config) time.Duration { return max(Linger(c), c.Tuning.Lease) }
+func answers(c *config.Config) time.Duration { return max(c.Workers.Linger(), c.Tuning.Lease) }
 
 // New gives the holder of a claim, from a snapshot and the part's ledgers, which are not
 // older.
@@ -241,21 +235,27 @@
 	}
 }
 
-// Entitled reports whether a report may be answered: while the claim surely lasts or for
+// Entitled reports whether reports may be answered: while the claim surely lasts or for
 // a while after its last renewal, and for a while after the last time that this holder
-// surely knew of every cancellation. Each answer lets a worker's tasks live for another
-// lease, also those of a job of which a holder that stands still, or whose view does,
-// does not know that it was cancelled.
+// surely knew of every cancellation. A renewal says nothing of what is known: each answer
+// lets a worker's tasks live for another lease, also those of a job of which a holder that
+// is refused by the store, or whose view stands still, does not know that it was cancelled.
 func (h *Holder) Entitled(now time.Time, valid bool, confirmed time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	linger := Linger(h.cfg)
-	return (valid || now.Sub(confirmed) < linger) && now.Sub(h.knows) < max(linger, leastKnows)
+	linger := h.cfg.Workers.Linger()
+	return (valid || now.Sub(confirmed) < linger) && now.Sub(h.knows) < linger
 }
 
-// leastKnows is how old what a holder knows of cancellations may be where they leave no
-// time for it beside a worker's lease: a watch of the store lasts a few seconds.
-const leastKnows = 8 * time.Second
+// keepsOver reports whether an answer would keep the lease under which a launch that may
+// still be on its way would be executed, of a job that was cancelled long ago. Its machine is
+// being released, but the cloud may not take that now.
+func (h *Holder) keepsOver(now time.Time, machine string) bool {
+	m := h.fleet.Machine(machine)
+	return m != nil && slices.ContainsFunc(m.Placements(), func(p *fleet.Placement) bool {
+		return p.Loose() && p.State != fleet.Ended && p.Stop != nil && p.Stop.Over && now.Sub(h.history(p.Task.Job).ended) >= h.cfg.Workers.Linger()
+	})
+}
 
 func (h *Holder) history(job string) *history {
 	j := h.jobs[job]
@@ -273,20 +273,23 @@
 	h.types, h.newTypes = t, true
 }
 
-// Report takes in a worker's report and gives the answer to it. launch says
-// whether the claim surely lasts.
-func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) wire.Answer {
+// Report takes in a worker's report and gives the answer to it; ok is false where there
+// must be none. launch says whether the claim surely lasts.
+func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) (a wire.Answer, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.hear(now, r.Machine)
 	h.heardIn(now, r)
 	events := h.fleet.Observe(now, r, true)
 	h.take(now, events)
+	if h.keepsOver(now, r.Machine) {
+		return a, false
+	}
 	cmds := h.fleet.Answer(now, r, launch)
 	for _, c := range cmds {
 		h.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", r.Machine)
 	}
-	return wire.Answer{Term: h.held.Term, Commands: cmds}
+	return wire.Answer{Term: h.held.Term, Commands: cmds}, true
 }
 
 // Inspected takes in a report that came as the body of a direct call.
@@ -309,6 +312,11 @@
 		} else if p.State == fleet.Running {
 			h.log.Debug("task running", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "after", now.Sub(p.Placed))
 		}
+		// What a report shows for the first time, of a job that is known to be over, is
+		// stopped by the answer to that report, which may be the last one for long.
+		if m := h.fleet.Machine(p.Machine); m != nil && !e.Gone && p.Active() && p.Stop == nil && h.live[p.Task.Job] == nil {
+			h.over(now, m, p)
+		}
 	}
 	if len(events) > 0 || !h.rebuilt {
 		h.Kick()
--- a/internal/round/model_test.go
+++ b/internal/round/model_test.go
@@ -234,7 +234,7 @@
 	for _, t := range sortedTasks(w.alone) {
 		r.Tasks = append(r.Tasks, wire.ReportedTask{Task: t.String(), ID: t, Attempt: w.alone[t], State: wire.TaskEnded, Cause: wire.CauseAlone})
 	}
-	a := h.Report(modelNow, r, true)
+	a, _ := h.Report(modelNow, r, true)
 	if a.Term < w.term {
 		return
 	}
--- a/internal/round/tiers_test.go
+++ b/internal/round/tiers_test.go
@@ -86,7 +86,8 @@
 		for _, task := range sortedKeys(w.on[m]) {
 			r.Tasks = append(r.Tasks, w.on[m][task])
 		}
-		for _, c := range w.holder.Report(w.now, r, true).Commands {
+		a, _ := w.holder.Report(w.now, r, true)
+		for _, c := range a.Commands {
 			w.do(m, c)
 		}
 	}
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -412,7 +412,11 @@
 		return nil
 	}
 	var out []string
-	for _, c := range b.holder.Report(b.now, r, !slices.Contains(w, "invalid")).Commands {
+	a, ok := b.holder.Report(b.now, r, !slices.Contains(w, "invalid"))
+	if !ok {
+		return []string{"no answer"}
+	}
+	for _, c := range a.Commands {
 		out = append(out, fmt.Sprintf("%s %s%s", c.Verb, c.Task, attempt(c.Attempt)))
 	}
 	return out
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -19,8 +19,14 @@
 // one was begun.
 const watchTime = 4 * time.Second
 
+// WatchFor gives the bound of a watch where what it tells may be no older than so much.
+func WatchFor(linger time.Duration) time.Duration { return min(watchTime, linger/3) }
+
 // Follower keeps a View up to date and makes read barriers.
 type Follower struct {
+	// Watch bounds a watch.
+	Watch time.Duration
+
 	client *Client
 	view   *View
 	log    *slog.Logger
@@ -55,7 +61,7 @@
 
 // NewFollower gives a follower of the client's store.
 func NewFollower(c *Client, v *View, log *slog.Logger) *Follower {
-	return &Follower{client: c, view: v, log: log, wake: make(chan struct{}, 1)}
+	return &Follower{Watch: watchTime, client: c, view: v, log: log, wake: make(chan struct{}, 1)}
 }
 
 // note remembers when the store was last reached, and when it last was not. One that calls
@@ -136,7 +142,7 @@
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		begun := time.Now()
-		ch, err := f.client.Changes(ctx, Stem, f.view.Revision(), watchTime)
+		ch, err := f.client.Changes(ctx, Stem, f.view.Revision(), f.Watch)
 		f.note(err)
 		switch {
 		case err == nil:
