Fleet: no answer keeps a machine's lease for a launch of a job that is over; no launch into a session that was guessed; copies of gone machines' reports

A direct launch without an answer may be executed as long as its session lasts. Its machine was released before a cancellation's time is up, which needs the cloud and a valid claim; without those the holder went on answering the machine's reports, and the launch could be executed at any time. Now the answers end with the same bound as those of a holder that is cut off. A session that time alone proved over was taken for begun: a launch sent into it waits on a machine that hangs.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -80,6 +80,8 @@
 	Why   string
 	Since time.Time
 	Over  bool // its job is over: it must not be launched any more
+	// Until is for how long a machine may be answered on which it may yet be launched.
+	Until time.Time
 }
 
 // HasImage reports whether the placement's image has come to its machine: what an earlier
@@ -121,6 +123,7 @@
 	LastSession uint64
 	seq         uint64       // of the newest message
 	reportSeq   uint64       // of the newest report
+	launchSeq   uint64       // of the newest report of which the answer carried launches
 	met         bool         // something of the session has been heard
 	proven      bool         // holds nothing from before the term, though not seen at it
 	placements  []*Placement // in a fixed order; replaced, never changed in place
@@ -129,7 +132,7 @@
 // begin moves on to a session of which nothing has been heard yet. The machine lives on, and
 // so do its images, but for those that were only being fetched: nobody waits for them.
 func (m *Machine) begin(session uint64) {
-	m.Session, m.seq, m.reportSeq, m.met = session, 0, 0, false
+	m.Session, m.seq, m.reportSeq, m.launchSeq, m.met = session, 0, 0, 0, false
 	for name, c := range m.images {
 		if !c.here {
 			m.forsake(name)
@@ -205,6 +208,13 @@
 	return nil
 }
 
+// number orders the messages of a machine.
+type number struct{ session, seq uint64 }
+
+func (n number) before(r *wire.Report) bool {
+	return r.Session > n.session || r.Session == n.session && r.Seq > n.seq
+}
+
 // Fleet is what the holder of a part knows under its term.
 type Fleet struct {
 	Term     uint64
@@ -215,7 +225,7 @@
 	machines map[string]*Machine
 	order    []*Machine // by name; replaced when one goes
 	tasks    map[wire.TaskID][]*Placement
-	buried   map[string]bool // gone machines, which a stale list may still show
+	buried   map[string]number // gone machines, which a stale list may still show, and their last message
 	released map[string]bool
 }
 
@@ -223,7 +233,7 @@
 // claim an earlier holder may have gone on answering reports.
 func New(term uint64, claimed time.Time, workerLease, linger, listLag time.Duration) *Fleet {
 	return &Fleet{Term: term, Claimed: claimed, lease: workerLease, linger: max(linger, 0), listLag: listLag,
-		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]bool), released: make(map[string]bool)}
+		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]number), released: make(map[string]bool)}
 }
 
 // Know adds a machine that the cloud or a report names. One that the store did
@@ -301,7 +311,7 @@
 		}
 		delete(f.machines, id)
 		f.order = slices.DeleteFunc(slices.Clone(f.order), func(o *Machine) bool { return o == m })
-		f.buried[id] = true
+		f.buried[id] = number{m.Session, m.seq}
 	}
 }
 
@@ -374,8 +384,11 @@
 	if f.released[r.Machine] {
 		return nil
 	}
+	if last, gone := f.buried[r.Machine]; gone && !last.before(r) {
+		return nil // a copy from before its end: what is no more would be launched on
+	}
 	m := f.Know(now, r.Machine, r.Type, r.Zone, r.Spot)
-	if r.Session < m.Session || r.Session == m.Session && r.Seq <= m.seq {
+	if !(number{m.Session, m.seq}).before(r) {
 		return nil // late: its list is as old as the report
 	}
 	var events []Event
@@ -516,7 +529,8 @@
 	if r.Session != m.Session || r.Seq < m.reportSeq {
 		return cmds
 	}
-	launch = launch && m.serves()
+	// Of a report that has come again, nobody waits for the answer.
+	launch = launch && m.serves() && r.Seq > m.launchSeq
 	kept := 0
 	for _, p := range m.Placements() {
 		switch {
@@ -529,13 +543,24 @@
 		case p.State == Planned && p.Committed && launch && (p.Stop == nil || p.loose && !p.Stop.Over):
 			// One that is to stop and may yet be launched by a call on its way can't
 			// be taken back: it is launched after all, and stopped when it shows.
-			p.State, p.said = Sent, true
+			p.State, p.said, m.launchSeq = Sent, true, r.Seq
 			cmds = append(cmds, wire.Command{Verb: wire.Launch, Task: p.Task.String(), Attempt: p.Attempt})
 		}
 	}
 	return cmds
 }
 
+// Lapses reports whether a machine is to lose its lease: a launch of a job that is over may be
+// executed there as long as the session lasts, and each answer would let that last beyond the
+// time within which the job's tasks must be gone. The cloud may be out, or this holder not
+// entitled to release a machine.
+func (f *Fleet) Lapses(now time.Time, machine string) bool {
+	m := f.machines[machine]
+	return m != nil && slices.ContainsFunc(m.placements, func(p *Placement) bool {
+		return p.loose && p.State <= Sent && p.Stop != nil && p.Stop.Over && !now.Before(p.Stop.Until)
+	})
+}
+
 func (p *Placement) stopCommand() wire.Command {
 	grace := p.Stop.Grace.Seconds()
 	return wire.Command{Verb: wire.Stop, Task: p.Task.String(), Attempt: p.Attempt, GraceS: &grace}
@@ -545,7 +570,9 @@
 // harmless however late they are executed, and, with launch, the launches that
 // wait. These count as loose until Called tells what became of the call.
 func (f *Fleet) Direct(m *Machine, launch bool) (cmds []wire.Command, launched []*Placement) {
-	launch = launch && m.serves() && m.Session > 0
+	// What is sent into a session of which nothing has been heard is executed whenever that
+	// begins: no time shows it gone.
+	launch = launch && m.serves() && m.met
 	for _, p := range m.Placements() {
 		switch {
 		case p.Stop != nil && p.State != Planned && p.Active():
@@ -626,7 +653,7 @@
 			gone = append(gone, l.ID)
 			continue
 		}
-		if f.buried[l.ID] {
+		if _, gone := f.buried[l.ID]; gone {
 			continue
 		}
 		m := f.Know(now, l.ID, l.Type, l.Zone, l.Spot)
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -262,7 +262,7 @@
 		return
 	}
 	if p.Stop == nil || !p.Stop.Over {
-		p.Stop = &fleet.Stop{Why: "job is over", Since: now, Over: true}
+		p.Stop = &fleet.Stop{Why: "job is over", Since: now, Over: true, Until: j.ended.Add(Linger(h.cfg))}
 		h.log.Debug("stopping", "task", p.Task, "machine", p.Machine, "why", "job is over")
 	}
 	// A machine that can't be reached, or to which a launch may still be on its
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -282,6 +282,9 @@
 	h.heardIn(now, r)
 	events := h.fleet.Observe(now, r, true)
 	h.take(now, events)
+	if h.fleet.Lapses(now, r.Machine) {
+		return wire.Answer{Commands: []wire.Command{}} // without a term, so that the worker drops it
+	}
 	cmds := h.fleet.Answer(now, r, launch)
 	for _, c := range cmds {
 		h.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", r.Machine)
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -411,8 +411,12 @@
 		b.holder.Inspected(b.now, r)
 		return nil
 	}
+	answer := b.holder.Report(b.now, r, !slices.Contains(w, "invalid"))
+	if answer.Term == 0 {
+		return []string{"an answer that it drops"}
+	}
 	var out []string
-	for _, c := range b.holder.Report(b.now, r, !slices.Contains(w, "invalid")).Commands {
+	for _, c := range answer.Commands {
 		out = append(out, fmt.Sprintf("%s %s%s", c.Verb, c.Task, attempt(c.Attempt)))
 	}
 	return out
