--- /dev/null
+++ b/internal/standin/deaf_test.go
@@ -0,0 +1,158 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// answering is two controllers that answer every report, and keep it.
+type answering struct {
+	mu   sync.Mutex
+	got  map[string][]wire.Report
+	when []time.Time
+}
+
+func (a *answering) serve(node string) transport.ServeConn {
+	return handler(func(_, _ string, _ map[string]string, body []byte) (int, any) {
+		var r wire.Report
+		_ = wire.Decode(body, &r)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.got[node] = append(a.got[node], r)
+		return 200, wire.Answer{Term: 1, Commands: []wire.Command{}}
+	})
+}
+
+func (a *answering) take() (out map[string][]wire.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out, a.got = a.got, map[string][]wire.Report{}
+	return out
+}
+
+// TestDeaf: a deaf machine's reports arrive, its lease runs out though they are answered, a direct
+// command does nothing and gets no answer; once it hears again it goes on. Copies of reports
+// arrive at both controllers, as old as they are.
+func TestDeaf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, a := NewNet(), &answering{got: map[string][]wire.Report{}}
+		ctx, stop := context.WithCancel(t.Context())
+		nodes := map[string]string{"c-0": "10.0.0.1:8080", "c-1": "10.0.0.2:8080"}
+		echo := &Echo{Dial: n.Host("10.4.0.1").Dial, Most: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}
+		for name, addr := range nodes {
+			go n.Host(HostOf(addr)).Listen(ctx, addr, 0, a.serve(name))
+			echo.Nodes = append(echo.Nodes, addr)
+		}
+		time.Sleep(time.Second)
+		w := NewWorker(WorkerConfig{ID: "n-1", Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Net: n.Host("10.1.0.1"), Down: func() {},
+			Yard: NewYard(NewChecker(time.Minute, nil), time.Minute, time.Second), Controllers: nodes, Lease: 20 * time.Second, Report: 2 * time.Second, Echo: echo})
+		direct := func() (int, error) {
+			ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
+			defer cancel()
+			resp, err := (&transport.Caller{Limit: 1 << 20, Dial: n.Host("10.0.0.1").Dial}).Call(ctx, "10.1.0.1:9000", "POST", wire.PathDirect,
+				wire.Encode(wire.Direct{Term: 7, Session: 1, Commands: []wire.Command{}}))
+			if err != nil {
+				return 0, err
+			}
+			return resp.Status, nil
+		}
+		time.Sleep(15 * time.Second)
+		if got := a.take(); w.Lost() > 0 || len(got["c-0"]) < 5 || len(got["c-1"]) > 0 {
+			t.Errorf("%d sessions lost, %v", w.Lost(), got)
+		}
+		w.Deaf(true)
+		time.Sleep(15 * time.Second)
+		if status, err := direct(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a direct command was answered %d, %v", status, err)
+		}
+		time.Sleep(15 * time.Second)
+		got := a.take()
+		if w.Lost() != 1 || len(got["c-0"]) < 2 || len(got["c-1"]) < 2 {
+			t.Errorf("%d sessions lost, %v", w.Lost(), got)
+		}
+		for _, reports := range got {
+			for _, r := range reports {
+				if r.Term != 1 {
+					t.Errorf("it has heard: %+v", r)
+				}
+			}
+		}
+		w.Deaf(false)
+		time.Sleep(25 * time.Second)
+		if status, err := direct(); status != 409 || w.Lost() > 2 { // the session is another
+			t.Errorf("answered %d, %v, %d sessions lost", status, err, w.Lost())
+		}
+		before := w.Lost()
+		echo.Share(1)
+		time.Sleep(10 * time.Second)
+		echo.Share(0)
+		a.take()
+		time.Sleep(5 * time.Second)
+		w.Kill()
+		time.Sleep(time.Minute) // copies arrive though it is gone
+		got = a.take()
+		last := map[string]bool{}
+		for node, reports := range got {
+			for _, r := range reports {
+				last[node] = last[node] || r.Session == uint64(before)+1
+			}
+		}
+		if echo.Came() < 4 || !last["c-0"] || !last["c-1"] {
+			t.Errorf("%d copies, %v", echo.Came(), got)
+		}
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestLater: a transaction that is put off gets no answer, and is carried out 2 to 12 s later,
+// after a newer one; one whose condition no longer holds changes nothing.
+func TestLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, s := NewNet(), NewStore(1, 0)
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Host("10.2.0.1").Listen(ctx, "10.2.0.1:2379", 0, s.Serve())
+		time.Sleep(time.Second)
+		put := func(key string, version uint64) (int, error) {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			resp, err := (&transport.Caller{Limit: 1 << 20, Dial: n.Host("10.0.0.1").Dial}).Call(ctx, "10.2.0.1:2379", "POST", wire.PathTxn,
+				wire.Encode(wire.Txn{If: []wire.Condition{{Key: key, Version: version}}, Then: []wire.Change{{Put: key, Value: "x"}}}))
+			if err != nil {
+				return 0, err
+			}
+			return resp.Status, nil
+		}
+		s.Stage(func(s *Store) { s.Later = 1 })
+		for _, key := range []string{"a", "b"} {
+			if status, err := put(key, 0); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("%s was answered %d, %v", key, status, err)
+			}
+		}
+		if items := s.Page("", "", 0).Items; len(items) > 0 {
+			t.Errorf("carried out at once: %v", items)
+		}
+		s.Stage(func(s *Store) { s.Later = 0 })
+		if status, err := put("a", 0); status != 200 {
+			t.Errorf("a newer one was answered %d, %v", status, err)
+		}
+		time.Sleep(12 * time.Second)
+		items := s.Page("", "", 0).Items
+		if late, taken := s.PutOff(); late != 2 || taken != 1 || len(items) != 2 || items[0].Version != 1 || items[1].Version != 2 {
+			t.Errorf("%d late, %d taken, %v", late, taken, items)
+		}
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -430,6 +430,10 @@
 // Close ends every connection.
 func (n *Net) Close() { n.reset(true) }
 
+// silence is the status of a request that gets no answer, on a connection that stays open: its
+// caller learns nothing before it gives up.
+const silence = -1
+
 // handler serves requests with bodies and query parameters taken apart.
 func handler(f func(method, path string, query map[string]string, body []byte) (int, any)) transport.ServeConn {
 	return func(_ context.Context, s transport.Stream) {
@@ -445,6 +449,10 @@
 				query[k] = unescape(v)
 			}
 			status, body := f(req.Method, req.Path, query, req.Body)
+			if status == silence {
+				_, _ = io.Copy(io.Discard, s)
+				return
+			}
 			if status == 0 { // swallowed: the caller gets no answer
 				return
 			}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -56,6 +56,9 @@
 	// Delay, if it is set, gives the time that an answer takes.
 	Delay func() time.Duration
 	Lossy float64
+	// Later is the share of the transactions that get no answer and are carried out 2 to 12 s
+	// later, after newer ones.
+	Later float64
 	// Took, if it is set, is told the keys of each transaction that was carried out.
 	Took func(puts []string)
 	// Meets, if it is set, says what becomes of a transaction with such values.
@@ -74,6 +77,8 @@
 	writes   int
 	requests int
 	rps, wps *rate.Limiter
+
+	late, lateTaken int // transactions that were put off, and those of them that were taken
 }
 
 // Fate is what becomes of a transaction.
@@ -430,6 +435,9 @@
 					return s.meet(t, f)
 				}
 			}
+			if s.Later > 0 && s.Rand.Float64() < s.Later {
+				return s.putOff(t)
+			}
 			if s.Rand.Float64() < s.Lossy {
 				return s.lose(t)
 			}
@@ -482,6 +490,28 @@
 	return 0, nil
 }
 
+// putOff carries a transaction out after newer ones. Its caller hears nothing.
+func (s *Store) putOff(t txn) (int, any) {
+	const least, most = 2 * time.Second, 12 * time.Second
+	s.late++
+	time.AfterFunc(least+time.Duration(s.Rand.Int64N(int64(most-least))), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if status, _ := s.commit(t); status == 200 {
+			s.lateTaken++
+		}
+	})
+	return silence, nil
+}
+
+// PutOff tells how many transactions were to be carried out late, and how many of them have
+// changed something.
+func (s *Store) PutOff() (late, taken int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.late, s.lateTaken
+}
+
 func (s *Store) list(prefix, after string, limit int) wire.ItemList {
 	out := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
 	most := cmp.Or(s.Limits.PageItems, wire.MaxItems)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -27,6 +27,7 @@
 	late                func() time.Duration // by how much a direct call is held up, mostly 0
 	slow, pull          float64              // times the nominal run and fetch times
 	shared              bool                 // images that are fetched at once share the rate
+	echo                *Echo
 
 	mu       sync.Mutex
 	ctx      context.Context
@@ -38,6 +39,7 @@
 	answered time.Time // when the last answered report was sent
 	notice   time.Time // when the machine is taken; zero: no notice
 	hangs    time.Time // until when it does nothing
+	deaf     int       // faults by which it hears nothing
 	tasks    map[string]*running
 	images   map[string]*image
 	paced    time.Time // up to when what was fetched is counted
@@ -57,17 +59,18 @@
 	Late                 func() time.Duration // by how much a direct call is held up; nil: none is
 	Slow, Pull           float64              // times the nominal run and fetch times; 0 stands for 1
 	Shared               bool                 // images that are fetched at once share the rate
+	Echo                 *Echo                // by which some reports arrive again; nil: none does
 }
 
 // NewWorker starts a worker.
 func NewWorker(c WorkerConfig) *Worker {
 	w := &Worker{id: c.ID, addr: c.Addr, typ: c.Type, zone: c.Zone, spot: c.Spot, spec: c.Spec, net: c.Net, down: c.Down, nodes: c.Controllers, yard: c.Yard,
-		lease: c.Lease, every: c.Report, late: c.Late, slow: cmp.Or(c.Slow, 1), pull: cmp.Or(c.Pull, 1), shared: c.Shared, session: 1, answered: time.Now(),
+		lease: c.Lease, every: c.Report, late: c.Late, slow: cmp.Or(c.Slow, 1), pull: cmp.Or(c.Pull, 1), shared: c.Shared, echo: c.Echo, session: 1, answered: time.Now(),
 		tasks: map[string]*running{}, images: map[string]*image{}, soon: make(chan struct{}, 1)}
 	if w.late == nil {
 		w.late = func() time.Duration { return 0 }
 	}
-	w.caller = &transport.Caller{Limit: 8 << 20, Dial: c.Net.Dial}
+	w.caller = &transport.Caller{Limit: 8 << 20, Dial: w.dial}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.node = slices.Sorted(maps.Keys(w.nodes))[0]
 	go func() { _ = w.net.Listen(w.ctx, w.addr, 64, w.serve()) }()
@@ -176,6 +179,7 @@
 		body, node := wire.Encode(w.report()), w.node
 		w.mu.Unlock()
 		ctx, cancel := context.WithTimeout(w.ctx, 4*time.Second)
+		w.echo.sent(w.nodes[node], body)
 		resp, err := w.caller.Call(ctx, w.nodes[node], "POST", wire.PathReport, body)
 		cancel()
 		wait, gap := w.every, 500*time.Millisecond
@@ -232,6 +236,11 @@
 }
 
 func (w *Worker) serve() transport.ServeConn {
+	serve := w.answers()
+	return func(ctx context.Context, s transport.Stream) { serve(ctx, &earIn{s, ear{w: w}}) }
+}
+
+func (w *Worker) answers() transport.ServeConn {
 	return handler(func(method, path string, _ map[string]string, body []byte) (int, any) {
 		w.resume()
 		w.mu.Lock()
--- a/internal/world/fault.go
+++ b/internal/world/fault.go
@@ -26,6 +26,9 @@
 	Notice time.Duration `json:"notice,omitempty"`
 	Times  float64       `json:"times,omitempty"`
 	Who    string        `json:"who,omitempty"`
+
+	FromState bool `json:"from_state,omitempty"`
+	FromPeers bool `json:"from_peers,omitempty"`
 }
 
 // The kinds of faults, and which fields each needs and may have beside at and for.
@@ -36,6 +39,7 @@
 	"state_refuse":    {needs: []string{"who"}},
 	"state_slow":      {needs: []string{"delay"}},
 	"state_lose":      {needs: []string{"share"}},
+	"state_late":      {needs: []string{"share"}},
 	"state_forget":    {},
 	"cloud_down":      {},
 	"cloud_fewer":     {needs: []string{"share"}},
@@ -45,9 +49,12 @@
 	"machine_die":     {may: []string{"count", "share", "zone"}},
 	"machine_restart": {may: []string{"count", "share", "zone", "delay"}},
 	"machine_hang":    {may: []string{"count", "share", "zone"}},
+	"machine_deaf":    {may: []string{"count", "share", "zone"}},
+	"report_late":     {needs: []string{"share"}},
 	"spot_taken":      {may: []string{"count", "share", "zone", "notice"}},
 	"controller_kill": {may: []string{"who", "delay"}},
 	"controller_hang": {may: []string{"who"}},
+	"controller_cut":  {[]string{"who"}, []string{"from_state", "from_peers", "mode"}},
 }
 
 // Kinds lists the kinds of faults.
@@ -63,7 +70,8 @@
 	return fields{"kind": word(&f.Kind, Kinds()...), "at": duration(&f.At, 0, 24*time.Hour), "for": duration(&f.For, 0, 24*time.Hour),
 		"from": word(&f.From), "to": word(&f.To), "mode": word(&f.Mode, "hold", "lose", "reset"), "one_way": yes(&f.OneWay), "delay": duration(&f.Delay, time.Millisecond, time.Hour),
 		"share": number(&f.Share, 0, 1), "count": count(&f.Count, 1, 1_000_000), "zone": word(&f.Zone), "notice": duration(&f.Notice, 0, time.Hour),
-		"times": number(&f.Times, 0.01, 1000), "who": word(&f.Who)}
+		"times": number(&f.Times, 0.01, 1000), "who": word(&f.Who),
+		"from_state": yes(&f.FromState), "from_peers": yes(&f.FromPeers)}
 }
 
 // fieldError is a fault in one field.
@@ -99,7 +107,8 @@
 		return errors.Join(out...)
 	}
 	set := map[string]bool{"from": f.From != "", "to": f.To != "", "mode": f.Mode != "", "one_way": f.OneWay, "delay": f.Delay > 0, "share": f.Share > 0,
-		"count": f.Count > 0, "zone": f.Zone != "", "notice": f.Notice > 0, "times": f.Times > 0, "who": f.Who != ""}
+		"count": f.Count > 0, "zone": f.Zone != "", "notice": f.Notice > 0, "times": f.Times > 0, "who": f.Who != "",
+		"from_state": f.FromState, "from_peers": f.FromPeers}
 	for _, name := range sorted(set) {
 		needed := slices.Contains(k.needs, name)
 		if needed && !set[name] {
@@ -109,6 +118,9 @@
 			wrong(name, "means nothing to %s, which takes %s", f.Kind, strings.Join(append(append([]string{"for"}, k.needs...), k.may...), ", "))
 		}
 	}
+	if f.Kind == "controller_cut" && !f.FromState && !f.FromPeers {
+		wrong("from_state", "missing: controller_cut needs from_state = yes, from_peers = yes, or both")
+	}
 	if f.Kind == "machine_hang" && f.For == 0 {
 		wrong("for", "missing: machine_hang needs it")
 	}
--- a/internal/world/stage.go
+++ b/internal/world/stage.go
@@ -112,6 +112,11 @@
 			func(s *standin.Store) { s.Delay = func() time.Duration { return usual } }), nil
 	case "state_lose":
 		return store(func(s *standin.Store) { s.Lossy = f.Share }, func(s *standin.Store) { s.Lossy = 0 }), nil
+	case "state_late":
+		return store(func(s *standin.Store) { s.Later = f.Share }, func(s *standin.Store) { s.Later = 0 }), nil
+	case "report_late":
+		w.echo.Share(f.Share)
+		return func() { w.echo.Share(0) }, nil
 	case "state_forget":
 		w.store.Forget()
 	case "cloud_down":
@@ -130,6 +135,20 @@
 		}
 	case "machine_hang":
 		w.each(f, func(m standin.Machine) { m.(interface{ Hang(time.Duration) }).Hang(f.For) })
+	case "machine_deaf":
+		var heard []func()
+		w.each(f, func(m standin.Machine) {
+			deaf := m.(interface{ Deaf(bool) }).Deaf
+			deaf(true)
+			heard = append(heard, func() { deaf(false) })
+		})
+		return func() {
+			for _, hear := range heard {
+				hear()
+			}
+		}, nil
+	case "controller_cut":
+		return w.cutOff(f), nil
 	case "machine_restart":
 		back := cmp.Or(f.Delay, usualBack)
 		w.each(f, func(m standin.Machine) { m.(interface{ Reboot(time.Duration, bool) }).Reboot(back, false) })
@@ -162,6 +181,22 @@
 	}
 }
 
+// cutOff severs a controller from the state service, from its siblings, or from both, and from
+// nobody else.
+func (w *World) cutOff(f *Fault) func() {
+	var lifts []func()
+	for to, meant := range map[string]bool{"state": f.FromState, "controllers": f.FromPeers} {
+		if meant {
+			lifts = append(lifts, w.cut(&Fault{Kind: "cut", From: f.Who, To: to, Mode: f.Mode}))
+		}
+	}
+	return func() {
+		for _, lift := range lifts {
+			lift()
+		}
+	}
+}
+
 // usualBack is after how long what ends is back, unless a fault says otherwise.
 const usualBack = 2 * time.Second
 
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -60,6 +60,7 @@
 	begun  time.Time
 	luck   *rand.Rand
 	life   *life
+	echo   *standin.Echo
 
 	mu     sync.Mutex
 	lifts  map[int]*Staged
@@ -140,15 +141,17 @@
 	w.life.Known.Over(w.begun)
 	yard := standin.NewYard(w.life, c.Workers.GangWait, c.Workers.GangPeer)
 	names := map[string]string{}
+	w.echo = &standin.Echo{Dial: Dial, Most: 3 * c.Workers.Lease, Rand: rand.New(rand.NewPCG(c.Seed, 9))}
 	for i := range c.Controllers {
 		names[w.controller(i).name] = w.Public(i)
+		w.echo.Nodes = append(w.echo.Nodes, w.Public(i))
 	}
 	w.cloud = &standin.Cloud{Types: c.Types, Rooms: c.Rooms, RPS: c.Cloud.RPS, Lag: c.Cloud.ListLag, Rand: rand.New(rand.NewPCG(c.Seed, 3)),
 		Addr: w.machineAddr,
 		Start: func(id, addr, typ, zone string, spot bool) standin.Machine {
 			me := side{id, "machines", zone}
 			return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: c.spec(typ), Net: host{w.links, me, w.peer},
-				Down: func() { w.freePort(addr) }, Controllers: names, Yard: yard, Lease: c.Workers.Lease, Report: c.Workers.Report, Shared: c.Shared})
+				Down: func() { w.freePort(addr) }, Controllers: names, Yard: yard, Lease: c.Workers.Lease, Report: c.Workers.Report, Shared: c.Shared, Echo: w.echo})
 		}}
 }
 
@@ -481,6 +484,8 @@
 	add("notice", f.Notice > 0, f.Notice)
 	add("times", f.Times > 0, f.Times)
 	add("who", f.Who != "", f.Who)
+	add("from_state", f.FromState, "yes")
+	add("from_peers", f.FromPeers, "yes")
 	add("for", f.For > 0, f.For)
 	return strings.TrimSpace(f.Kind + " " + strings.Join(out, " "))
 }
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -44,13 +44,28 @@
 count = 3
 [fault z]
 kind = machine_hang
+[fault deaf]
+kind = machine_deaf
+zone = moon
+who = c-0
+[fault late]
+kind = state_late
+[fault echo]
+kind = report_late
+share = 2
+[fault apart]
+kind = controller_cut
+who = c-77
+from_peers = perhaps
 [planet mars]
 `))
 	if err == nil {
 		t.Fatal("nothing is wrong")
 	}
 	for _, want := range []string{"line 2: [world] controllers: \"12\": must be a count from 1 to 9", "line 3: [world] zones", "line 4: [world] colour: \"red\": must be left out; known are cancel,",
-		"line 6: [type g4] cpus", "line 7: [type g4] zones", "line 9: [team red] gpus", "line 12: [fault x] at", "from: \"moon\"", "to: missing: cut needs it", "line 17: [fault y]: count: means nothing to state_down", "[fault z]: for: missing", "[planet mars]"} {
+		"line 6: [type g4] cpus", "line 7: [type g4] zones", "line 9: [team red] gpus", "line 12: [fault x] at", "from: \"moon\"", "to: missing: cut needs it", "line 17: [fault y]: count: means nothing to state_down", "[fault z]: for: missing",
+		"[fault deaf]: who: means nothing to machine_deaf, which takes for, count, share, zone", "[fault deaf]: zone: \"moon\": must be one of", "[fault late]: share: missing: state_late needs it",
+		"[fault echo] share: \"2\": must be", "[fault apart]: who: \"c-77\": must be one of", "[fault apart] from_peers: \"perhaps\": must be yes or no", "[fault apart]: from_state: missing: controller_cut needs from_state = yes, from_peers = yes, or both", "[planet mars]"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not in\n%v", want, err)
 		}
@@ -99,6 +114,8 @@
 		{Fault{Kind: "cut", From: "state", To: "c-0", OneWay: true, Mode: "lose"}, 0, 200},
 		{Fault{Kind: "state_refuse", Who: "c-0"}, 503, 200},
 		{Fault{Kind: "state_down"}, 503, 503},
+		{Fault{Kind: "controller_cut", Who: "c-0", FromState: true, FromPeers: true}, 0, 200},
+		{Fault{Kind: "controller_cut", Who: "c-0", FromPeers: true}, 200, 200},
 	} {
 		s, err := w.Stage(x.fault)
 		if err != nil {
@@ -119,6 +136,30 @@
 	}
 }
 
+// TestCutOff: a controller that is cut from the state service and its siblings reaches neither,
+// nor do they reach it, and its machines and the cloud do.
+func TestCutOff(t *testing.T) {
+	w := &World{Config: Small(), links: newLinks()}
+	lift := w.cutOff(&Fault{Kind: "controller_cut", Who: "c-0", FromState: true, FromPeers: true})
+	c, machine := w.controller(0), side{"n-1", "machines", "a"}
+	for _, x := range []struct {
+		side side
+		cut  bool
+	}{{state, true}, {w.controller(1), true}, {w.controller(2), true}, {machine, false}, {cloud, false}} {
+		out, _, _ := w.links.way(c, x.side)
+		in, _, _ := w.links.way(x.side, c)
+		if (out != "") != x.cut || (in != "") != x.cut {
+			t.Errorf("%v: %q, %q", x.side, out, in)
+		}
+	}
+	if mode, _, _ := w.links.way(w.controller(1), state); mode != "" {
+		t.Errorf("another is cut off: %q", mode)
+	}
+	if lift(); len(w.links.rules) > 0 {
+		t.Error("not lifted")
+	}
+}
+
 // TestHeldMessages: what is sent into a cut that holds is delivered in order when it ends, though
 // the sender has given up; nothing of it after one that loses.
 func TestHeldMessages(t *testing.T) {
