--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -20,6 +20,7 @@
 	mu        sync.Mutex
 	submitted map[string]*wire.Job
 	run       map[string]time.Duration
+	each      map[string][]time.Duration // of tasks of their own run times
 	places    map[wire.TaskID]map[string]string // machine to zone
 	finished  map[wire.TaskID]bool
 	told      map[string]wire.Stage
@@ -32,7 +33,7 @@
 
 // NewChecker gives a checker that has seen nothing.
 func NewChecker(cancel time.Duration, limits map[string]float64) *Checker {
-	return &Checker{Cancel: cancel, Limits: limits, submitted: map[string]*wire.Job{}, run: map[string]time.Duration{},
+	return &Checker{Cancel: cancel, Limits: limits, submitted: map[string]*wire.Job{}, run: map[string]time.Duration{}, each: map[string][]time.Duration{},
 		places: map[wire.TaskID]map[string]string{}, finished: map[wire.TaskID]bool{}, told: map[string]wire.Stage{},
 		cancelled: map[string]time.Time{}, used: map[string]float64{}}
 }
@@ -64,6 +65,13 @@
 	c.submitted[j.ID], c.run[j.ID] = j, run
 }
 
+// Uneven gives each task of a job, which is yet to be submitted, a run time of its own.
+func (c *Checker) Uneven(job string, run ...time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.each[job] = run
+}
+
 // On tells that a task starts on a machine, and gives its run time.
 func (c *Checker) On(t wire.TaskID, machine, typ, zone string, spot bool) (time.Duration, bool) {
 	c.mu.Lock()
@@ -94,6 +102,9 @@
 	if c.finished[t] { // started again, it ends as soon as it has its image
 		return 10 * time.Millisecond, true
 	}
+	if each := c.each[t.Job]; len(each) > 0 {
+		return each[t.Index%len(each)], true
+	}
 	return c.run[t.Job], true
 }
 
--- a/sim_test.go
+++ b/sim_test.go
@@ -44,6 +44,7 @@
 	users  *standin.Users
 	dial   func(ctx context.Context, addr string) (net.Conn, error) // by which they reach controllers, if it is set
 	asking sync.WaitGroup
+	echo   *standin.Echo
 	over   time.Time // since when all troubles are; zero while nobody has said so
 }
 
@@ -86,6 +87,10 @@
 	for i := range count {
 		w.net.Place(w.ip(i), w.settings(i).Zone)
 	}
+	w.echo = &standin.Echo{Dial: w.net.Host("10.4.0.1").Dial, Most: 3 * workerLease, Rand: rand.New(rand.NewPCG(seed, 12))}
+	for i := range count {
+		w.echo.Nodes = append(w.echo.Nodes, names[fmt.Sprintf("c-%d", i)])
+	}
 	typ := g4
 	typ.Zones = w.settings(0).Zones
 	yard := standin.NewYard(w.check, 20*time.Second, 3*time.Second)
@@ -94,7 +99,7 @@
 		Start: func(id, addr, typ, zone string, spot bool) standin.Machine {
 			w.net.Place(standin.HostOf(addr), zone)
 			return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(standin.HostOf(addr)),
-				Down: func() { w.net.Down(standin.HostOf(addr), true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: 2 * time.Second, Late: heldUp})
+				Down: func() { w.net.Down(standin.HostOf(addr), true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: 2 * time.Second, Late: heldUp, Echo: w.echo})
 		}}
 	go w.net.Host("10.2.0.1").Listen(w.ctx, "10.2.0.1:2379", 0, w.store.Serve())
 	go w.net.Host("10.2.0.2").Listen(w.ctx, "10.2.0.2:8443", 0, w.cloud.Serve())
