--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -262,12 +262,12 @@
 		return
 	}
 	if p.Stop == nil || !p.Stop.Over {
-		p.Stop = &fleet.Stop{Why: "job is over", Since: now, Over: true}
+		p.Stop = &fleet.Stop{Why: "job is over", Since: now, Over: true, Until: j.ended.Add(h.cfg.Workers.Linger())}
 		h.log.Debug("stopping", "task", p.Task, "machine", p.Machine, "why", "job is over")
 	}
 	// A machine that can't be reached, or to which a launch may still be on its
 	// way, is released before the time is up. While the cloud does not take that, the
-	// launch is kept from being executed by a lease that no answer renews (keepsOver).
+	// launch is kept from being executed by a lease that no answer renews (fleet.Lapses).
 	switch age := now.Sub(j.ended); {
 	case p.Loose() && age > h.cfg.Workers.Linger()/2:
 		h.giveUp(m, "the launch of a cancelled task may still be on its way there")
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -5,7 +5,6 @@
 
 import (
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -247,16 +246,6 @@
 	return (valid || now.Sub(confirmed) < linger) && now.Sub(h.knows) < linger
 }
 
-// keepsOver reports whether an answer would keep the lease under which a launch that may
-// still be on its way would be executed, of a job that was cancelled long ago. Its machine is
-// being released, but the cloud may not take that now.
-func (h *Holder) keepsOver(now time.Time, machine string) bool {
-	m := h.fleet.Machine(machine)
-	return m != nil && slices.ContainsFunc(m.Placements(), func(p *fleet.Placement) bool {
-		return p.Loose() && p.State != fleet.Ended && p.Stop != nil && p.Stop.Over && now.Sub(h.history(p.Task.Job).ended) >= h.cfg.Workers.Linger()
-	})
-}
-
 func (h *Holder) history(job string) *history {
 	j := h.jobs[job]
 	if j == nil {
@@ -282,7 +271,7 @@
 	h.heardIn(now, r)
 	events := h.fleet.Observe(now, r, true)
 	h.take(now, events)
-	if h.keepsOver(now, r.Machine) {
+	if h.fleet.Lapses(now, r.Machine) {
 		return a, false
 	}
 	cmds := h.fleet.Answer(now, r, launch)
