Reports that are late or can't be: change nothing, counted, named in the log

A report of an attempt that was never given, or of a term that nobody has claimed, was taken in and its task stopped; late ones counted as signs of life of their zone. Both are counted (reports_late_total, reports_impossible_total), and what can't be is logged with machine, session and number and not answered.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -115,6 +115,8 @@
 	for _, h := range c.holding() { // not under our lock: a holder that decides keeps its own for long
 		r.Parts++
 		r.Term = max(r.Term, h.Term())
+		odd := h.Odd()
+		r.Late, r.Impossible = r.Late+odd.Late, r.Impossible+odd.Impossible
 		if r.Zones == nil {
 			r.Zones = make(map[string]zone.Record)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -377,6 +377,16 @@
 	Gone      bool // it is no longer there, and did not end in sight
 }
 
+// Late reports whether a report says nothing that is not known better: it is a copy, or was
+// held up, or its machine is no more.
+func (f *Fleet) Late(r *wire.Report) bool {
+	if m := f.machines[r.Machine]; m != nil {
+		return !(number{m.Session, m.seq}).before(r)
+	}
+	last, gone := f.buried[r.Machine]
+	return gone && !last.before(r)
+}
+
 // Observe takes in a worker's report, whichever way it came. A report proves
 // that an unseen launch was not taken only if it came by itself (own), since
 // the answer that carried the launch may be in flight beside any other.
@@ -384,13 +394,10 @@
 	if f.released[r.Machine] {
 		return nil
 	}
-	if last, gone := f.buried[r.Machine]; gone && !last.before(r) {
-		return nil // a copy from before its end: what is no more would be launched on
+	if f.Late(r) {
+		return nil // its list is as old as the report; what is no more would be launched on
 	}
 	m := f.Know(now, r.Machine, r.Type, r.Zone, r.Spot)
-	if !(number{m.Session, m.seq}).before(r) {
-		return nil // late: its list is as old as the report
-	}
 	var events []Event
 	if r.Session > m.Session {
 		for _, p := range m.Placements() {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -38,6 +38,7 @@
 	Heard                     int // machines whose reports are taken here
 	Edges                     int // siblings that pass reports on to this holder
 	Passed, Unpassed, Moved   uint64
+	Late, Impossible          uint64                   // reports to the holders here that changed nothing
 	Window                    int                      // of calls that can wait
 	Zones                     map[string]zone.Record   // that were ever in question, by the holder
 	Tiers                     map[string]tier.Standing // of the parts that it holds
@@ -90,6 +91,8 @@
 	figure(gauge, "machines_reporting", "Machines whose reports are taken by this controller.", func(r *Reading) float64 { return float64(r.Heard) }),
 	figure(gauge, "report_edges", "Siblings that pass reports on to this holder.", func(r *Reading) float64 { return float64(r.Edges) }),
 	figure(counter, "reports_passed_total", "Reports that were passed on to the holder.", func(r *Reading) float64 { return float64(r.Passed) }),
+	figure(counter, "reports_late_total", "Reports to the holder that were older than what it knew.", func(r *Reading) float64 { return float64(r.Late) }),
+	figure(counter, "reports_impossible_total", "Reports to the holder that can't be, see the log.", func(r *Reading) float64 { return float64(r.Impossible) }),
 	figure(counter, "reports_unanswered_total", "Of them, those that the holder did not answer in time.", func(r *Reading) float64 { return float64(r.Unpassed) }),
 	figure(counter, "machines_moved_total", "Times that a machine was sent to a sibling with more room.", func(r *Reading) float64 { return float64(r.Moved) }),
 	figure(gauge, "call_window", "Calls that can wait which may be open at once; it falls while this process is late.", func(r *Reading) float64 { return float64(r.Window) }),
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -4,6 +4,7 @@
 package round
 
 import (
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -111,6 +112,7 @@
 	roused       map[string]time.Time // zones of which a machine was heard again, and when
 	newTypes     bool
 	claims       claims
+	odd          Odd
 	counts       map[string]Count
 	counted      time.Time
 }
@@ -267,11 +269,7 @@
 func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) (a wire.Answer, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hear(now, r.Machine)
-	h.heardIn(now, r)
-	events := h.fleet.Observe(now, r, true)
-	h.take(now, events)
-	if h.fleet.Lapses(now, r.Machine) {
+	if !h.observe(now, r, true) || h.fleet.Lapses(now, r.Machine) {
 		return a, false
 	}
 	cmds := h.fleet.Answer(now, r, launch)
@@ -285,9 +283,50 @@
 func (h *Holder) Inspected(now time.Time, r *wire.Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observe(now, r, false)
+}
+
+// observe takes in a report, whichever way it came. One that is older than what is known
+// shows nothing, and one that can't be is not even answered: what made it up may make up more.
+func (h *Holder) observe(now time.Time, r *wire.Report, own bool) (ok bool) {
+	if why := h.impossible(r); why != "" {
+		h.odd.Impossible++
+		h.log.Warn("impossible report", "machine", r.Machine, "session", r.Session, "number", r.Seq, "why", why)
+		return false
+	}
+	if h.fleet.Late(r) {
+		h.odd.Late++
+		return true
+	}
 	h.hear(now, r.Machine)
 	h.heardIn(now, r)
-	h.take(now, h.fleet.Observe(now, r, false))
+	h.take(now, h.fleet.Observe(now, r, own))
+	return true
+}
+
+// impossible says what a report can't say, or nothing. Attempts are of terms up to this one;
+// where the fleet is in parts, the holder of another may have given a gang's.
+func (h *Holder) impossible(r *wire.Report) string {
+	if r.Term > h.held.Term {
+		return fmt.Sprintf("term %d, which nobody has claimed below this one", r.Term)
+	}
+	for _, t := range r.Tasks {
+		term, n := t.Attempt>>24, t.Attempt&(1<<24-1)
+		if h.group.Whole() && term > h.held.Term || term == h.held.Term && n > h.sequence {
+			return fmt.Sprintf("task %s of attempt %d, which was never given", t.ID, t.Attempt)
+		}
+	}
+	return ""
+}
+
+// Odd counts reports that changed nothing.
+type Odd struct{ Late, Impossible uint64 }
+
+// Odd tells how many reports changed nothing.
+func (h *Holder) Odd() Odd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.odd
 }
 
 // take deals with what reports and proofs have shown.
--- a/internal/round/raise.go
+++ b/internal/round/raise.go
@@ -96,8 +96,7 @@
 	}
 	h.called[machine] = last
 	if r != nil && r.Machine == machine && r.Term <= h.held.Term {
-		h.heardIn(now, r)
-		h.take(now, h.fleet.Observe(now, r, false))
+		h.observe(now, r, false)
 	}
 }
 
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -276,6 +276,9 @@
 		s, _ := strconv.ParseUint(session, 10, 64)
 		q, _ := strconv.ParseUint(seq, 10, 64)
 		b.holder.Raised(b.now, w[1], &wire.Report{Machine: w[1], Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Session: s, Seq: q, Term: uint64(num("term", 0)), Tasks: b.parseTasks(tasks)})
+	case "odd": // reports that changed nothing
+		odd := b.holder.Odd()
+		return []string{fmt.Sprintf("%d late, %d impossible", odd.Late, odd.Impossible)}
 	case "seen": // the view holds all that is in the store by now
 		b.view.Reached(b.now)
 	case "tend": // while a round waits for the store
