--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -20,7 +20,7 @@
 	mu        sync.Mutex
 	submitted map[string]*wire.Job
 	run       map[string]time.Duration
-	each      map[string][]time.Duration // of tasks of their own run times
+	each      map[string][]time.Duration        // of tasks of their own run times
 	places    map[wire.TaskID]map[string]string // machine to zone
 	finished  map[wire.TaskID]bool
 	told      map[string]wire.Stage
--- /dev/null
+++ b/meetings_sim_test.go
@@ -0,0 +1,535 @@
+package amberdeal
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// mishap is a trouble that lasts from least to most; one that has no length is over at once.
+type mishap struct {
+	name        string
+	least, most time.Duration
+	cast        func(m *meeting, d time.Duration)
+}
+
+// bounds are the times that rules rest on in a world of stand-ins: how long an answer is waited
+// for, when a machine is silent, the age of what a holder knows, its lease, the workers' lease, the
+// longest that a holder answers unconfirmed and the lease after that, and cancel_s.
+var bounds = []time.Duration{2 * time.Second, 4 * time.Second, 5750 * time.Millisecond, 8 * time.Second, 9 * time.Second, workerLease, 40 * time.Second, 45 * time.Second}
+
+// near draws a time around one of the bounds, between two others.
+func near(luck *rand.Rand, least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	d := bounds[luck.IntN(len(bounds))] + time.Duration(luck.IntN(1600)-800)*time.Millisecond
+	if d < least || d > most {
+		d = least + time.Duration(luck.Int64N(int64(most-least)))
+	}
+	return d
+}
+
+// meeting is a day on which one trouble meets another.
+type meeting struct {
+	*world
+	number uint64
+	luck   *rand.Rand
+	bad    int // the controller that troubles are about
+	machin []string
+}
+
+func (m *meeting) badIP() string { return m.ip(m.bad) }
+
+// aim picks whom troubles are about: mostly who holds something.
+func (m *meeting) aim() {
+	m.bad = m.luck.IntN(m.count)
+	if names := m.holders(); m.luck.IntN(4) > 0 {
+		for _, part := range []string{"fleet", "a", "b"} {
+			if name := names[part]; name != "" && (part != "a" || m.luck.IntN(2) == 0) {
+				m.bad = int(name[2] - '0')
+			}
+		}
+	}
+}
+
+// some gives some of the machines that are up: one, half, or all.
+func (m *meeting) some() (hosts []string, machines []standin.Machine, ids []string) {
+	share := m.luck.IntN(3)
+	n := 0
+	m.cloud.Each(func(l wire.ListedMachine, x standin.Machine) {
+		if n++; share == 0 && n > 1 || share == 1 && n%2 == 0 {
+			return
+		}
+		hosts, machines, ids = append(hosts, standin.HostOf(l.Addr)), append(machines, x), append(ids, l.ID)
+	})
+	return hosts, machines, ids
+}
+
+const stateHost = "10.2.0.1"
+
+// cutPeers severs a controller from the others.
+func (m *meeting) cutPeers(i int, on bool) {
+	for k := range m.count {
+		if k != i {
+			m.net.Cut(m.ip(i), m.ip(k), on)
+		}
+	}
+}
+
+// machineHosts are those of all machines, also of those that are yet to come.
+func machineHosts() (hosts []string) {
+	for n := range 60 {
+		hosts = append(hosts, fmt.Sprintf("10.1.0.%d", n+1))
+	}
+	return hosts
+}
+
+const (
+	blink = 50 * time.Millisecond
+	sec   = time.Second
+)
+
+// mishaps are all troubles that meet each other.
+var mishaps = []mishap{
+	{"a controller is killed and back at once", 0, 0, func(m *meeting, _ time.Duration) { m.crash(m.bad, soon(m.luck), held(m.luck)) }},
+	{"a controller is killed and back later", 1 * sec, 30 * sec, func(m *meeting, d time.Duration) { m.crash(m.bad, d, 0) }},
+	{"all are killed and back at once", 0, 0, func(m *meeting, _ time.Duration) {
+		late := held(m.luck)
+		for _, i := range m.luck.Perm(m.count) {
+			m.group.Go(func() { m.crash(i, blink+time.Duration(i)*70*time.Millisecond, late) })
+		}
+	}},
+	{"all are killed and back later", 1 * sec, 30 * sec, func(m *meeting, d time.Duration) {
+		for _, i := range m.luck.Perm(m.count) {
+			m.crash(i, d, 0)
+		}
+	}},
+	{"all are rolled", 6 * sec, 20 * sec, func(m *meeting, d time.Duration) {
+		for _, i := range m.luck.Perm(m.count) {
+			m.crash(i, soon(m.luck), 0)
+			time.Sleep(d / time.Duration(m.count))
+		}
+	}},
+	{"a controller stands still", 1 * sec, 50 * sec, func(m *meeting, d time.Duration) { m.net.Still(m.badIP(), d) }},
+	{"all stand still", 1 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		for i := range m.count {
+			m.net.Still(m.ip(i), d)
+		}
+	}},
+	{"a controller is slow", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		ip, most, steps := m.badIP(), 100+m.luck.IntN(1400), rand.New(rand.NewPCG(m.luck.Uint64(), 7))
+		m.net.Slow(ip, func() time.Duration { return time.Duration(m.draw(steps, most)) * time.Millisecond })
+		time.AfterFunc(d, func() { m.net.Slow(ip, nil) })
+	}},
+	{"two processes of one name", 50 * time.Millisecond, 6 * sec, func(m *meeting, d time.Duration) { m.twin(m.bad, d, held(m.luck)) }},
+	{"a controller is refused by the state service", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		name := fmt.Sprint("c-", m.bad)
+		lasting(d, func(on bool) { m.store.Refuse(name, on) })
+	}},
+	{"a controller is cut from the state service", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		ip := m.badIP()
+		lasting(d, func(on bool) { m.net.Cut(ip, stateHost, on) })
+	}},
+	{"a controller and the state service don't hear each other", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		ip, both := m.badIP(), m.luck.IntN(2) == 0
+		lasting(d, func(on bool) {
+			m.net.Lose(stateHost, ip, on)
+			m.net.Lose(ip, stateHost, on && both)
+		})
+	}},
+	{"a controller is cut from the state service and its siblings", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		i := m.bad
+		lasting(d, func(on bool) {
+			m.net.Cut(m.ip(i), stateHost, on)
+			m.cutPeers(i, on)
+		})
+	}},
+	{"a controller is refused by the state service and cut from its siblings", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		i := m.bad
+		lasting(d, func(on bool) {
+			m.store.Refuse(fmt.Sprint("c-", i), on)
+			m.cutPeers(i, on)
+		})
+	}},
+	{"a controller is cut from its siblings", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		i := m.bad
+		lasting(d, func(on bool) { m.cutPeers(i, on) })
+	}},
+	{"a controller is cut from the machines", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		ip := m.badIP()
+		in, out := m.luck.IntN(3) > 0, m.luck.IntN(3) > 0
+		lasting(d, func(on bool) {
+			for _, host := range machineHosts() {
+				m.net.Lose(host, ip, on && (in || !out))
+				m.net.Lose(ip, host, on && out)
+			}
+		})
+	}},
+	{"what a controller sends is held up", 1 * sec, 40 * sec, func(m *meeting, d time.Duration) { m.net.Hold(m.badIP(), d) }},
+	{"the state service is out for a while", 1 * sec, 20 * sec, func(m *meeting, d time.Duration) { lasting(d, m.store.Outage) }},
+	{"the state service is out for longer than cancel_s", 46 * sec, 70 * sec, func(m *meeting, d time.Duration) { lasting(d, m.store.Outage) }},
+	{"the state service is slow", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		most, steps := 200+m.luck.IntN(4000), rand.New(rand.NewPCG(m.luck.Uint64(), 7))
+		lasting(d, func(on bool) {
+			m.store.Stage(func(s *standin.Store) {
+				if s.Delay = nil; on {
+					s.Delay = func() time.Duration { return time.Duration(m.draw(steps, most)) * time.Millisecond }
+				}
+			})
+		})
+	}},
+	{"writes are late", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		share := []float64{0.1, 0.3, 0.6, 1}[m.luck.IntN(4)]
+		lasting(d, func(on bool) { m.store.Stage(func(s *standin.Store) { s.Later = map[bool]float64{true: share}[on] }) })
+	}},
+	{"writes get no answer", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		lasting(d, func(on bool) { m.store.Stage(func(s *standin.Store) { s.Lossy = map[bool]float64{true: 0.4}[on] }) })
+	}},
+	{"the state service forgets its changes", 2 * sec, 10 * sec, func(m *meeting, d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(700 * time.Millisecond) {
+			m.store.Forget()
+		}
+	}},
+	{"reports are late", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		m.echo.Share([]float64{0.1, 0.5, 1}[m.luck.IntN(3)])
+		time.AfterFunc(d, func() { m.echo.Share(0) })
+	}},
+	{"machines are deaf", 2 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		_, machines, _ := m.some()
+		lasting(d, func(on bool) {
+			for _, x := range machines {
+				x.(interface{ Deaf(bool) }).Deaf(on)
+			}
+		})
+	}},
+	{"machines are cut off", 2 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		hosts, _, _ := m.some()
+		for _, host := range hosts {
+			lasting(d, func(on bool) { m.net.Down(host, on) })
+		}
+	}},
+	{"what machines send is held up", 1 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		hosts, _, _ := m.some()
+		for _, host := range hosts {
+			m.net.Hold(host, d)
+		}
+	}},
+	{"machines can only be called", 2 * sec, 40 * sec, func(m *meeting, d time.Duration) {
+		hosts, _, _ := m.some()
+		for _, host := range hosts {
+			lasting(d, func(on bool) { m.net.Mute(host, on) })
+		}
+	}},
+	{"machines hang", 2 * sec, 30 * sec, func(m *meeting, d time.Duration) {
+		_, machines, _ := m.some()
+		for _, x := range machines {
+			x.(interface{ Hang(time.Duration) }).Hang(d)
+		}
+	}},
+	{"machines reboot", 0, 0, func(m *meeting, _ time.Duration) {
+		hosts, machines, ids := m.some()
+		for i, x := range machines {
+			m.reboot(ids[i], hosts[i], x, m.luck)
+		}
+	}},
+	{"machines die", 0, 0, func(m *meeting, _ time.Duration) {
+		_, _, ids := m.some()
+		for _, id := range ids {
+			m.cloud.Die(id)
+		}
+	}},
+	{"a zone is dark", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		zone := []string{"a", "b"}[m.luck.IntN(2)]
+		lasting(d, func(on bool) { m.net.Apart(zone, on) })
+	}},
+	{"spot machines are taken", 10 * sec, 10 * sec, func(m *meeting, d time.Duration) {
+		notice := []time.Duration{0, 3 * sec, d}[m.luck.IntN(3)]
+		m.cloud.Each(func(l wire.ListedMachine, _ standin.Machine) {
+			if l.Spot {
+				m.cloud.TakeBack(l.ID, notice)
+			}
+		})
+	}},
+	{"the cloud is in trouble", 5 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		change := []func(f *standin.CloudFaults){
+			func(f *standin.CloudFaults) { f.Trouble = true },
+			func(f *standin.CloudFaults) { f.Fewer = 1 },
+			func(f *standin.CloudFaults) { f.Late = 8 * sec },
+			func(f *standin.CloudFaults) { f.NeverUp = 0.5 },
+		}[m.luck.IntN(4)]
+		m.cloud.Fail(change)
+		time.AfterFunc(d, func() { m.cloud.Fail(func(f *standin.CloudFaults) { *f = standin.CloudFaults{} }) })
+	}},
+}
+
+// pair gives the troubles of a case: as many cases as there are troubles hold each of them once
+// as the first and once as the second, and their square holds every ordered pair.
+func pair(number uint64) (first, second *mishap) {
+	n := uint64(len(mishaps))
+	i, round := number%n, number/n%n
+	return &mishaps[i], &mishaps[(i+7+round*5)%n] // 5 and their number have no common divisor
+}
+
+// met counts what has come about in all cases that were played, lest troubles are only names.
+var met struct{ putOff, putOffTaken, echoes, sessions, takeovers, cancelled, twoParts atomic.Int64 }
+
+// playMeeting plays a day on which two troubles meet while jobs of every shape run, among them
+// arrays of which the tasks end far apart, and users cancel before, in and after the meeting
+// through all controllers. Then it is quiet.
+func playMeeting(t *testing.T, number uint64) {
+	luck := rand.New(rand.NewPCG(number, 20))
+	first, second := pair(number)
+	// The second comes around a bound after the first has begun, or about when it ends.
+	lengths := [2]time.Duration{near(luck, first.least, first.most), near(luck, second.least, second.most)}
+	offset := near(luck, 0, 46*sec)
+	if luck.IntN(2) == 0 {
+		offset = max(0, lengths[0]+time.Duration(luck.IntN(5000)-1500)*time.Millisecond)
+	}
+	by, count := []string{"off", "zone"}[luck.IntN(2)], []int{3, 3, 5}[luck.IntN(3)]
+	keep := []int{0, 2, 200}[luck.IntN(3)]
+	silence := []time.Duration{0, 0, time.Hour}[luck.IntN(3)]
+	told := fmt.Sprintf("case %d: %s for %v; %v later %s for %v; parts %s, %d controllers, %d reports kept, silence %v", number, first.name, lengths[0], offset, second.name, lengths[1], by, count, keep, silence)
+	w := newWorldOf(t, count, number, 0, func(c *config.Config) {
+		i := int(c.Name[2] - '0')
+		c.Zone = []string{"a", "b"}[i%2]
+		c.StoreAddr = standin.Address(stateHost, 3000+i) // a door of its own
+		c.Tuning.Parts.By, c.Tuning.KeepReports, c.Tuning.Silence = by, keep, silence
+	})
+	for i := range count {
+		go w.net.Host(stateHost).Listen(w.ctx, standin.Address(stateHost, 3000+i), 0, w.store.ServeTo(fmt.Sprint("c-", i)))
+	}
+	w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Capacity = 6 })
+	w.check.Known.Begin = 4 * time.Minute
+	w.check.Known.Over(time.Time{})
+	m := &meeting{world: w, number: number, luck: luck}
+	log := func(format string, args ...any) {
+		if os.Getenv("SIM_LOG") != "" {
+			fmt.Fprintln(os.Stderr, time.Now().Format("15:04:05.000"), "=====", fmt.Sprintf(format, args...))
+		}
+	}
+	defer func() {
+		if t.Failed() {
+			t.Log(told)
+		}
+	}()
+	log("%s", told)
+
+	begins := 24*sec + time.Duration(luck.IntN(6000))*time.Millisecond
+	follows := begins + offset
+	over := max(begins+lengths[0], follows+lengths[1])
+	m.jobs(begins, follows, over)
+	start := time.Now()
+	at := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
+	at(begins)
+	term := w.term()
+	for k, x := range []*mishap{first, second} {
+		if k == 1 {
+			at(follows)
+		}
+		m.aim()
+		log("%s for %v, about c-%d", x.name, lengths[k], m.bad)
+		x.cast(m, lengths[k])
+	}
+	at(over)
+	log("quiet")
+	w.calm()
+	time.Sleep(100 * sec)
+	w.finish(10 * time.Minute)
+	w.judge()
+	if w.check.Started == 0 {
+		t.Error("nothing_ran")
+	}
+
+	late, taken := w.store.PutOff()
+	met.putOff.Add(int64(late))
+	met.putOffTaken.Add(int64(taken))
+	met.echoes.Add(int64(w.echo.Came()))
+	met.takeovers.Add(int64(w.term() - term))
+	if by == "zone" {
+		met.twoParts.Add(1)
+	}
+}
+
+// jobs has users submit jobs and cancel some, around when troubles begin and end.
+func (m *meeting) jobs(begins, follows, over time.Duration) {
+	n := 0
+	job := func(shape wire.Shape, tasks int, change func(j *wire.Job), submit, cancel time.Duration, runs ...time.Duration) {
+		n++
+		j := &wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "c", Team: "blue", Shape: shape, Priority: wire.Normal, Tasks: tasks, CPUs: 2, GPUs: 1, MemoryGB: 8,
+			Image: fmt.Sprint("img-", n%2), ImageGB: 1, EstimateS: runs[0].Seconds()}
+		if change != nil {
+			change(j)
+		}
+		m.submitter(j, submit, cancel, runs...)
+	}
+	saves := func(j *wire.Job) { j.CheckpointS, j.SaveS = 5, 1 }
+	service := func(j *wire.Job) { j.Spread, j.Priority, j.EstimateS = true, wire.Production, 0 }
+	red := func(j *wire.Job) { j.Team = "red" }
+	wobble := func(around time.Duration, ms int) time.Duration {
+		return max(14*sec, around+time.Duration(m.luck.IntN(2*ms)-ms)*time.Millisecond)
+	}
+	const forever = 24 * time.Hour
+	early := 6 * sec
+	job(wire.Service, 4, service, early, over+60*sec, forever)
+	job(wire.Service, 2, service, early, wobble(follows, 1500), forever)
+	job(wire.Gang, 3, func(j *wire.Job) { saves(j); j.OneZone, j.Priority = true, wire.High }, early, 0, 70*sec)
+	job(wire.Gang, 2, func(j *wire.Job) { j.Spread = true }, early, 0, 40*sec)
+	job(wire.Gang, 2, saves, early, wobble(begins, 1500), 5*time.Minute)
+	job(wire.Array, 3, nil, early, 0, 12*sec, 45*sec, 100*sec)
+	job(wire.Array, 2, func(j *wire.Job) { saves(j); j.Spot = true }, early, 0, 30*sec, 80*sec)
+	job(wire.Array, 3, red, early, 0, 18*sec, 35*sec, 75*sec)
+	job(wire.Array, 4, red, early, 0, 20*sec)
+	job(wire.Array, 3, func(j *wire.Job) { j.Spread = true }, early, wobble(follows+1*sec, 2000), 20*sec, 5*time.Minute)
+	job(wire.Array, 2, nil, early, wobble(begins+(over-begins)/2, int((over-begins).Milliseconds())/2+1), 5*time.Minute)
+	job(wire.Array, 2, func(j *wire.Job) { j.Zone, j.Spot = "a", true }, early, wobble(over, 2000), 25*sec, 5*time.Minute)
+	job(wire.Array, 2, func(j *wire.Job) { j.OneZone = true }, early, over+5*sec, 5*time.Minute)
+	for k := range 5 { // in the meeting
+		submit := wobble(begins, 2000) + time.Duration(m.luck.Int64N(int64(over-begins+sec)))
+		cancel := time.Duration(0)
+		if k%2 == 1 {
+			cancel = submit + time.Duration(m.luck.IntN(6000))*time.Millisecond
+		}
+		job(wire.Array, 1+k%3, nil, submit, cancel, 4*sec, 9*sec, 20*sec)
+	}
+	job(wire.Gang, 2, saves, wobble(follows, 2000), 0, 15*sec)
+}
+
+// submitter is a user who submits a job some time after the day has begun, asks about it, and may
+// cancel it at another time, each through whichever controller the balancer picks. Once it is
+// over it asks them all.
+func (m *meeting) submitter(j *wire.Job, submit, cancel time.Duration, runs ...time.Duration) {
+	m.check.Submitted(j, runs[0])
+	m.check.Uneven(j.ID, runs...)
+	h := fnv.New64()
+	_, _ = h.Write([]byte(j.ID))
+	luck := rand.New(rand.NewPCG(m.number, h.Sum64()))
+	start := time.Now()
+	m.group.Go(func() {
+		time.Sleep(submit)
+		caller := &transport.Caller{Limit: wire.MaxBody, Dial: m.net.Host("10.3.0.1").Dial}
+		once := func(method, path string, body []byte, patience time.Duration, asked bool) int {
+			ctx, stop := context.WithTimeout(m.ctx, patience)
+			defer stop()
+			resp, err := caller.Call(ctx, standin.Address(m.ip(luck.IntN(m.count)), 8080), method, path, body)
+			if err != nil || m.ctx.Err() != nil {
+				return 0
+			}
+			var s wire.JobStatus
+			_ = wire.Decode(resp.Body, &s)
+			m.check.Told(j.ID, resp.Status, s.Stage, asked)
+			return resp.Status
+		}
+		until := func(method, path string, body []byte, asked bool) (status int) {
+			for m.ctx.Err() == nil {
+				if status = once(method, path, body, 5*sec, asked); status > 0 && status < 500 && status != 429 {
+					return status
+				}
+				time.Sleep(sec)
+			}
+			return 0
+		}
+		path := wire.PathJobs + "/" + j.ID
+		if status := until("POST", wire.PathJobs, wire.Encode(j), false); status != 200 && status != 201 && m.ctx.Err() == nil {
+			m.t.Errorf("%s was answered %d", j.ID, status)
+			return
+		}
+		m.follow(j.ID)
+		asked := false
+		for m.ctx.Err() == nil && !m.check.Stage(j.ID).Final() {
+			if left := cancel - time.Since(start); cancel > 0 && left < 3*sec {
+				time.Sleep(left)
+				asked = true
+				if until("POST", path+"/"+wire.CancelWord, []byte{}, true) == 200 {
+					met.cancelled.Add(1)
+				}
+				continue
+			}
+			time.Sleep(2*sec + time.Duration(luck.IntN(2000))*time.Millisecond)
+			once("GET", path, nil, 2*sec, asked)
+		}
+		for range 8 { // what was told stays so, whoever is asked
+			time.Sleep(time.Duration(luck.IntN(8000)) * time.Millisecond)
+			once("GET", path, nil, 2*sec, asked)
+		}
+		if until("POST", wire.PathJobs, wire.Encode(j), asked); asked { // a late retry finds the final state
+			until("POST", path+"/"+wire.CancelWord, []byte{}, true)
+		}
+	})
+}
+
+// TestMeetings plays every kind of trouble once as the first and once as the second of two that
+// meet. AMBERDEAL_MEETINGS sets how many cases are played, as N or FROM-TO: the square of the number of
+// troubles holds all ordered pairs, and more play them again at other offsets. AMBERDEAL_MEETING plays one.
+func TestMeetings(t *testing.T) {
+	from, to := uint64(0), uint64(len(mishaps))
+	if text := os.Getenv("AMBERDEAL_MEETINGS"); text != "" {
+		a, b, ranged := strings.Cut(text, "-")
+		if to, _ = strconv.ParseUint(a, 10, 64); ranged {
+			from = to
+			to, _ = strconv.ParseUint(b, 10, 64)
+		}
+	}
+	if text := os.Getenv("AMBERDEAL_MEETING"); text != "" {
+		from, _ = strconv.ParseUint(text, 10, 64)
+		to = from + 1
+	}
+	t.Run("cases", func(t *testing.T) {
+		for n := from; n < to; n++ {
+			t.Run(fmt.Sprint(n), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { playMeeting(t, n) })
+			})
+		}
+	})
+	if to-from < uint64(len(mishaps)) {
+		return
+	}
+	t.Logf("%d writes put off, %d of them taken, %d reports again, %d claims, %d jobs cancelled, %d of %d days in two parts",
+		met.putOff.Load(), met.putOffTaken.Load(), met.echoes.Load(), met.takeovers.Load(), met.cancelled.Load(), met.twoParts.Load(), to-from)
+	for what, n := range map[string]*atomic.Int64{"write was put off": &met.putOff, "write that was put off was taken": &met.putOffTaken, "report came again": &met.echoes,
+		"controller took over": &met.takeovers, "job was cancelled": &met.cancelled, "day was in two parts": &met.twoParts} {
+		if n.Load() == 0 {
+			t.Errorf("no %s in all these cases", what)
+		}
+	}
+}
+
+// TestMeetingsHoldAllPairs: the enumeration holds every ordered pair, and every kind in both
+// places among the cases that are played by default.
+func TestMeetingsHoldAllPairs(t *testing.T) {
+	n := uint64(len(mishaps))
+	seen, firsts, seconds := map[[2]string]bool{}, map[string]bool{}, map[string]bool{}
+	for number := range n * n {
+		first, second := pair(number)
+		seen[[2]string{first.name, second.name}] = true
+		if number < n {
+			firsts[first.name], seconds[second.name] = true, true
+		}
+	}
+	if uint64(len(seen)) != n*n || uint64(len(firsts)) != n || uint64(len(seconds)) != n {
+		t.Errorf("%d of %d pairs, %d first and %d second by default", len(seen), n*n, len(firsts), len(seconds))
+	}
+	names := make([]string, 0, n)
+	for _, x := range mishaps {
+		names = append(names, x.name)
+	}
+	slices.Sort(names)
+	if len(slices.Compact(names)) != int(n) {
+		t.Error("two troubles have one name")
+	}
+}
