--- a/internal/standin/deaf_test.go
+++ b/internal/standin/deaf_test.go
@@ -156,3 +156,35 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestHangEndsWithTheLease: what is on a machine that hangs is gone when its lease runs out, not
+// when it goes on.
+func TestHangEndsWithTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, a := NewNet(), &answering{got: map[string][]wire.Report{}}
+		check := NewChecker(time.Minute, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Host("10.0.0.1").Listen(ctx, "10.0.0.1:8080", 0, a.serve("c-0"))
+		time.Sleep(time.Second)
+		w := NewWorker(WorkerConfig{ID: "n-1", Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Net: n.Host("10.1.0.1"), Down: func() {}, Spec: wire.MachineType{CPUs: 4, GPUs: 4, MemoryGB: 4},
+			Yard: NewYard(check, time.Minute, time.Second), Controllers: map[string]string{"c-0": "10.0.0.1:8080"}, Lease: 20 * time.Second, Report: 2 * time.Second})
+		check.Submitted(&wire.Job{ID: "wk-1", Shape: wire.Array, Tasks: 1, CPUs: 1}, time.Hour)
+		time.Sleep(5 * time.Second)
+		w.mu.Lock()
+		w.execute([]wire.Command{{Verb: wire.Launch, Task: "wk-1/0", Attempt: 1}})
+		w.mu.Unlock()
+		w.Hang(30 * time.Second)
+		time.Sleep(17 * time.Second)
+		if check.Running("wk-1") != 1 {
+			t.Error("gone before its lease has run out")
+		}
+		time.Sleep(4 * time.Second)
+		if check.Running("wk-1") != 0 {
+			t.Error("still there after its lease")
+		}
+		w.Kill()
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -75,6 +75,7 @@
 	w.node = slices.Sorted(maps.Keys(w.nodes))[0]
 	go func() { _ = w.net.Listen(w.ctx, w.addr, 64, w.serve()) }()
 	go w.run()
+	go w.watch()
 	return w
 }
 
@@ -170,6 +171,21 @@
 	}
 }
 
+// watch ends the session when the lease runs out, also while the machine hangs or waits for an
+// answer: what is on it is gone then, not when it next has something to do.
+func (w *Worker) watch() {
+	for w.ctx.Err() == nil {
+		w.mu.Lock()
+		w.expire()
+		left := w.lease - time.Since(w.answered)
+		w.mu.Unlock()
+		select {
+		case <-w.ctx.Done():
+		case <-time.After(left + time.Millisecond):
+		}
+	}
+}
+
 func (w *Worker) run() {
 	for w.ctx.Err() == nil {
 		w.resume()
