--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -74,6 +74,7 @@
 	stood        time.Time
 	outlook      outlook
 	given        map[string]handed // tasks that were lately given to other parts
+	names        names             // what the own ledger names
 	grants       grants
 	said         uint64 // up to which revision the ledger says that nothing is left of ended jobs
 	number       uint64 // of the grouping
