Round: a task that is given to another part is named by the own ledger no more

Divided anew, a state goes by the highest attempt that the ledgers name. The record that names the task is now written anew before the task goes.

--- a/internal/round/carry.go
+++ b/internal/round/carry.go
@@ -27,6 +27,12 @@
 // carryFrom adds to what the own ledger tells what those of earlier groupings do.
 func (h *Holder) carryFrom(carried bool, last *store.Recalled) {
 	h.carry = carry{machines: map[string]bool{}, asks: map[string]bool{}, jobs: map[string]bool{}, said: carried}
+	if h.names = (names{}); !h.group.Whole() {
+		h.names.of = make(map[string]map[string]uint64, len(last.Machines))
+		for id, m := range last.Machines {
+			h.names.take(id, m.Tasks)
+		}
+	}
 	if carried {
 		return
 	}
@@ -80,7 +86,7 @@
 		m := h.fleet.Machine(id)
 		if m == nil || h.ledger.Has(id) {
 			delete(h.carry.machines, id)
-		} else if !d.machines[id] && d.add(store.MachineEntry(id, record(m))) {
+		} else if !d.machines[id] && d.add(h.machineEntry(d, id)) {
 			d.machines[id] = true
 		}
 	}
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -21,10 +21,11 @@
 	clear    uint64 // up to which it says that nothing is left of ended jobs
 	carried  bool   // it says that nothing is left to take over
 	launches []*fleet.Placement
-	finished map[string][]int // tasks that it stores as done
-	done     []string         // jobs that it stores as done
-	machines map[string]bool  // whose records it writes
-	zones    []zone.Change    // that it decides
+	finished map[string][]int             // tasks that it stores as done
+	done     []string                     // jobs that it stores as done
+	machines map[string]bool              // whose records it writes
+	names    map[string]map[string]uint64 // and what these name
+	zones    []zone.Change                // that it decides
 	returns  map[string]*restore.Plan
 	asks     []string
 	dropped  []string // asks and machines whose records it drops
@@ -54,7 +55,7 @@
 
 func (h *Holder) newDraft() *Draft {
 	most := h.cfg.Store.TxnOps
-	return &Draft{Number: h.round + 1, finished: map[string][]int{}, machines: map[string]bool{}, claims: map[string]*tier.Claim{}, stale: map[roomOf]bool{},
+	return &Draft{Number: h.round + 1, finished: map[string][]int{}, machines: map[string]bool{}, names: map[string]map[string]uint64{}, claims: map[string]*tier.Claim{}, stale: map[roomOf]bool{},
 		ends: map[string]*store.Rewrite{}, guarded: map[string]bool{}, bytes: txnBytes, ops: most, guards: 4*most - most/2 - 3}
 }
 
@@ -165,8 +166,8 @@
 	h.storeProgress(d)
 	h.plan(now, d)
 	h.carryOver(d)
-	carried := h.carryDue()
-	if len(d.Txn.Then) == 0 && len(d.entries) == 0 && !carried && now.Sub(h.wrote) < h.cfg.Tuning.RoundWindow {
+	carried, disowns := h.carryDue(), h.disown(d)
+	if len(d.Txn.Then) == 0 && len(d.entries) == 0 && !carried && !disowns && now.Sub(h.wrote) < h.cfg.Tuning.RoundWindow {
 		return nil // what is only to be tidied up can wait for company
 	}
 	h.tidy(d)
@@ -409,9 +410,23 @@
 	}
 }
 
-// record is what the store keeps of a machine.
+// record is what the store keeps of a machine. What was seen ended there is not named, be its
+// launch loose: until a clear at a later term a copy does nothing, and then it is refused.
 func record(m *fleet.Machine) store.MachineRecord {
-	return store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: m.Session, Tasks: m.May()}
+	tasks := m.May()
+	for _, p := range m.Placements() {
+		if name := p.Task.String(); !p.Active() && tasks[name] == p.Attempt {
+			delete(tasks, name)
+		}
+	}
+	return store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Session: m.Session, Tasks: tasks}
+}
+
+// machineEntry gives the entry of a machine for a round.
+func (h *Holder) machineEntry(d *Draft, id string) store.Entry {
+	r := record(h.fleet.Machine(id))
+	d.names[id] = r.Tasks
+	return store.MachineEntry(id, r)
 }
 
 // plan lets sched choose and turns its plan into the draft.
@@ -496,6 +511,7 @@
 		h.log.Info("job done", "job", id, "round", d.Number)
 	}
 	for id := range d.machines {
+		h.names.take(id, d.names[id])
 		if m := h.fleet.Machine(id); m != nil {
 			m.Recorded = true
 		} else {
@@ -509,6 +525,7 @@
 		delete(h.dropAsks, name)
 		if !d.machines[name] {
 			delete(h.dropMachines, name)
+			h.names.take(name, nil)
 		}
 	}
 	if len(d.launches) > 0 || len(d.done) > 0 {
--- /dev/null
+++ b/internal/round/ends_test.go
@@ -0,0 +1,86 @@
+package round
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestGivenTaskIsNotNamedTwice: a task ran in part a, whose claim has the higher term, ended
+// without being done, and was given to part b, which runs it with a lower attempt. Then the
+// state is divided anew, which goes by the attempts that the ledgers name: part a must
+// not take for its own, and start again, what runs in part b.
+//
+// The call that launched it is answered, or may yet be carried out.
+func TestGivenTaskIsNotNamedTwice(t *testing.T) {
+	for _, fate := range []string{"executed", "open"} {
+		t.Run(fate, func(t *testing.T) { givenTask(t, fate) })
+	}
+}
+
+func givenTask(t *testing.T, fate string) {
+	b := newBench(t)
+	play := func(lines string) (out []string) {
+		for _, line := range strings.Split(strings.TrimSpace(lines), "\n") {
+			out = append(out, b.step(strings.TrimSpace(line))...)
+		}
+		return out
+	}
+	out := play(`
+		parts a b
+		job wk-1 sweep team=blue tasks=1 gpus=4
+		claim term=9
+		report n-1 1/1 term=9
+		others b now=3
+		round
+		direct ` + fate + `
+		report n-1 1/2 term=9: wk-1/0#9.1 running`)
+	if !slices.Contains(out, "launch wk-1/0#9.1 on n-1") {
+		t.Fatal(out)
+	}
+	// It fails, the machine is avoided, and there is no other.
+	out = play(`
+		wait 1s
+		report n-1 1/3 term=9: wk-1/0#9.1 ended error
+		round
+		wait 2s
+		report n-1 1/4 term=9: wk-1/0#9.1 ended error
+		round
+		wait 2s
+		report n-1 1/5 term=9: wk-1/0#9.1 ended error
+		round
+		wait 2s
+		report n-1 1/6 term=9: wk-1/0#9.1 ended error
+		round`)
+	t.Log(strings.Join(out, "\n"))
+	if !slices.Contains(out, "put batch/wk-1 wk-1=pending 0-1/b") {
+		t.Fatalf("it was not given away")
+	}
+	b.apply(wire.Change{Put: store.SlotKey("b", 0), Value: store.SlotRecord{Term: 5, Entries: map[string]wire.Raw{
+		"m/n-2": wire.Encode(store.MachineRecord{Addr: "10.1.0.2:9000", Type: "g4", Zone: "b", Session: 1, Tasks: map[string]uint64{"wk-1/0": 5<<24 | 1}})}}})
+	b.apply(wire.Change{Delete: store.PartKey("a")}, wire.Change{Delete: store.PartKey("b")})
+	out = play(`
+		divided a b
+		claim term=12
+		report n-1 1/8 term=12
+		others b now=9
+		round
+		wait 6s
+		report n-1 1/9 term=12
+		round
+		wait 1s
+		report n-1 1/10 term=12
+		round`)
+	t.Log(strings.Join(out, "\n"))
+	if l, _ := b.view.Live("wk-1"); b.holder.sharesOf(l)[0].Part != "b" {
+		t.Errorf("its task, which runs in b, is taken for one of %s", b.holder.sharesOf(l)[0].Part)
+	}
+	for _, line := range out {
+		if strings.HasPrefix(line, "launch wk-1/0") {
+			t.Errorf("%s while it runs in part b", line)
+		}
+	}
+}
--- a/internal/round/launch.go
+++ b/internal/round/launch.go
@@ -52,6 +52,6 @@
 		}
 	}
 	for _, id := range sortedKeys(d.machines) {
-		d.entries = append(d.entries, store.MachineEntry(id, record(h.fleet.Machine(id))))
+		d.entries = append(d.entries, h.machineEntry(d, id))
 	}
 }
--- a/internal/round/share.go
+++ b/internal/round/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"amberdeal.example/amberdeal/internal/sched"
@@ -287,8 +288,9 @@
 // give hands so many tasks of a job to a part, of the last that are nowhere.
 func (h *Holder) give(d *Draft, id string, l *store.LiveJob, to string, n int) bool {
 	j, gang := h.history(id), l.Record.Job.Shape == wire.Gang
+	named := h.named(id)
 	nowhere := func(i int) bool {
-		return !j.finished.Has(i) && h.fleet.Active(wire.TaskID{Job: id, Index: i}) == nil
+		return !j.finished.Has(i) && !named[i] && h.fleet.Active(wire.TaskID{Job: id, Index: i}) == nil
 	}
 	shares := h.sharesOf(l)
 	var next []store.Share
@@ -331,6 +333,11 @@
 	if _, ends := d.finished[id]; ends {
 		return false // what this round says of its end goes first
 	}
+	for i := range h.named(id) {
+		if partOf(shares, i) != h.held.Part {
+			return false // it goes once the ledger names it no more
+		}
+	}
 	r := d.ends[l.Home.Key]
 	if r == nil {
 		r = l.Home.Rewrite()
@@ -345,6 +352,73 @@
 	return true
 }
 
+// names is what the own ledger names: the tasks that it says may be on each machine.
+//
+// Where a task is that the ledgers of several parts name is told by the attempt when the state
+// is divided anew, and the claim of the part that had a task first may have the later term.
+// So a ledger must not name a task any more that is given to another part.
+type names struct {
+	of  map[string]map[string]uint64 // by machine; nil where there is one part
+	old map[string]bool              // machines of which it names a task that is to be given away
+}
+
+// take takes in what the ledger names on a machine from now on.
+func (n *names) take(machine string, tasks map[string]uint64) {
+	if delete(n.old, machine); n.of == nil {
+		return
+	}
+	if delete(n.of, machine); len(tasks) > 0 {
+		n.of[machine] = tasks
+	}
+}
+
+// named tells which tasks of a job the ledger names that are nowhere. The records that name
+// them are written anew.
+func (h *Holder) named(job string) map[int]bool {
+	var out map[int]bool
+	for machine, tasks := range h.names.of {
+		for name := range tasks {
+			if !strings.HasPrefix(name, job+"/") {
+				continue
+			}
+			if t, err := wire.ParseTaskID(name); err == nil && h.fleet.Active(t) == nil {
+				if out == nil {
+					out = make(map[int]bool)
+				}
+				if h.names.old == nil {
+					h.names.old = make(map[string]bool)
+				}
+				out[t.Index], h.names.old[machine] = true, true
+			}
+		}
+	}
+	return out
+}
+
+// disown writes the records anew that name tasks which are to be given away. It reports
+// whether one is to be dropped, for which the round need not wait for company.
+func (h *Holder) disown(d *Draft) (drops bool) {
+	for _, id := range sortedKeys(h.names.old) {
+		switch m := h.fleet.Machine(id); {
+		case m == nil:
+			drops = drops || h.dropMachines[id]
+		case !d.machines[id] && d.add(h.machineEntry(d, id)):
+			d.machines[id] = true
+		}
+	}
+	return drops
+}
+
+// partOf tells whose a task is.
+func partOf(shares []store.Share, index int) string {
+	for _, s := range shares {
+		if s.From <= index && index < s.To {
+			return s.Part
+		}
+	}
+	return ""
+}
+
 // joined puts runs together that follow each other in one part.
 func joined(shares []store.Share) []store.Share {
 	out := shares[:0:0]
