Round: a later attempt of a task that is done after all is taken back, or stopped

A new holder takes an old report of a machine that it never heard: a task had ended there, which it has placed again since.

--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -273,6 +273,19 @@
 	}
 }
 
+// spare takes a later attempt of a task back that is done after all, as an old report has told,
+// or has it stopped: its job may be called done before the attempt begins. The other tasks of
+// a gang are about to say that they are done.
+func (h *Holder) spare(t wire.TaskID, gang bool) {
+	p := h.fleet.Active(t)
+	for p != nil && h.fleet.Withdraw(p) {
+		p = h.fleet.Active(t)
+	}
+	if p != nil && p.Stop == nil && !gang {
+		p.Stop = &fleet.Stop{Why: "its task is done", Since: p.Placed}
+	}
+}
+
 // stop asks a task to end, with time to save; a gang is stopped as a whole.
 func (h *Holder) stop(now time.Time, p *fleet.Placement, job *wire.Job, why string) {
 	var grace time.Duration
