--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -349,9 +349,13 @@
 // finish marks a task as done; the tasks of a gang complete together.
 func (h *Holder) finish(t wire.TaskID, j *history) {
 	j.finished.Set(t.Index)
-	if l := h.live[t.Job]; l != nil && l.Record.Job.Shape == wire.Gang {
+	l := h.live[t.Job]
+	gang := l != nil && l.Record.Job.Shape == wire.Gang
+	h.spare(t, gang)
+	if gang {
 		for i := range l.Record.Tasks {
 			j.finished.Set(i)
+			h.spare(wire.TaskID{Job: t.Job, Index: i}, true)
 		}
 	}
 	h.fresh[t.Job] = true
