Regroup: a job that must be in one zone is of one part, that of its last attempt

A task of it that waited, and that a record still named in a zone where the job had been before, went to that zone's part, which does not see where the others run and would have started it there (wrong_place). one_zone.trace shows it.

--- a/internal/regroup/past.go
+++ b/internal/regroup/past.go
@@ -66,6 +66,17 @@
 	if together && len(order) > 0 {
 		rest = placed[order[0]].part
 	}
+	if rec.Job != nil && rec.Job.OneZone {
+		// No part knows where another's tasks are. Where the last attempt of any was made, all
+		// that was in other zones had been proven to be gone.
+		last := uint64(0)
+		for _, i := range order {
+			if placed[i].attempt > last {
+				last, rest = placed[i].attempt, placed[i].part
+			}
+		}
+		return p.done([]store.Share{{From: 0, To: rec.Tasks, Part: rest}}, rec)
+	}
 	r := &runs{finished: p.Finished[id], rest: rest}
 	for _, i := range order {
 		if i < rec.Tasks {
