Door: what was written is answered as the state has it

A submission looked up in a view of up to a second, and written up to seconds later, was called pending although another controller had accepted the job and told that it is cancelled in between. It is looked up again behind a barrier once it is written; a barrier before is not needed then, which a slow store feels.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -20,11 +20,6 @@
 // writePatience bounds how long a write may take.
 const writePatience = 3500 * time.Millisecond
 
-// freshEnough is how old the view may be where a job that it does not know is accepted.
-// While much goes on, watches return several times a second; while nothing does, a
-// barrier costs little.
-const freshEnough = time.Second
-
 // Door lets jobs in.
 type Door struct {
 	Teams  []config.Team
@@ -125,13 +120,6 @@
 func (d *Door) Submit(ctx context.Context, job *wire.Job) (rec store.JobRecord, created bool, err error) {
 	ctx, cancel := context.WithTimeout(store.For(ctx, store.Submissions), writePatience)
 	defer cancel()
-	if time.Since(d.View.CurrentAt()) > freshEnough {
-		// What another controller has accepted and ended meanwhile is not known here:
-		// it would be accepted again, and called pending.
-		if err := d.Follow.Barrier(ctx); err != nil {
-			return rec, false, fmt.Errorf("%w: %w", ErrLater, err)
-		}
-	}
 	for range 4 {
 		// The gate first: once the job was not found, only a submission that is
 		// taken before the gate moves can be its first.
@@ -142,8 +130,11 @@
 			return d.again(ctx, job.ID)
 		}
 		rec, created, err := d.accept(ctx, job, gate)
-		if !errors.Is(err, errMoved) {
-			return rec, created, err
+		switch {
+		case created:
+			return d.written(ctx, job.ID, rec)
+		case !errors.Is(err, errMoved):
+			return rec, false, err
 		}
 		if err := d.Follow.Barrier(ctx); err != nil {
 			return rec, false, fmt.Errorf("%w: %w", ErrLater, err)
@@ -152,6 +143,21 @@
 	return rec, false, ErrLater
 }
 
+// written tells how a job stands that was written just now as mine says. However old the view was
+// in which it was not found, and however long the write took: another controller may have accepted
+// and ended the job meanwhile, and then it is over by its first home, whatever was written here.
+func (d *Door) written(ctx context.Context, id string, mine store.JobRecord) (store.JobRecord, bool, error) {
+	if err := d.Follow.Barrier(ctx); err != nil {
+		return mine, false, fmt.Errorf("%w: %w", ErrLater, err)
+	}
+	rec, known, err := d.Find(ctx, id)
+	if err == nil && !known {
+		err = ErrLater // it was not written: another process had taken the same name
+	}
+	created := rec.Job != nil && rec.Created == mine.Created && rec.Job.Work == mine.Job.Work
+	return rec, err == nil && created, err
+}
+
 // again tells of a job that was submitted before.
 func (d *Door) again(ctx context.Context, id string) (store.JobRecord, bool, error) {
 	rec, err := d.Status(ctx, id)
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -22,7 +22,8 @@
 	*Door
 	store  *standin.Store
 	folder *history.Folder
-	stall  func() // its view follows no more, but for barriers
+	stall  func()                // its view follows no more, but for barriers
+	hold   func(d time.Duration) // what it sends leaves late
 }
 
 func newOffice(t *testing.T, ctx context.Context, net *standin.Net, s *standin.Store, name string) *office {
@@ -37,7 +38,7 @@
 		History: r, Log: log, Backlog: 100, Types: func() []wire.MachineType { return []wire.MachineType{{Name: "g", CPUs: 8, GPUs: 8, MemoryGB: 64}} },
 		Open: func() bool { return true }, Accepted: func() {}}}
 	follow, stall := context.WithCancel(ctx)
-	o.stall = stall
+	o.stall, o.hold = stall, func(d time.Duration) { net.Hold(name, d) }
 	go f.Run(follow)
 	go f.RunBarriers(ctx)
 	go o.Intake.Run(ctx)
@@ -253,6 +254,70 @@
 	})
 }
 
+// TestRepeatAtOnce: the same within a moment, while the view is as fresh as it mostly is.
+func TestRepeatAtOnce(t *testing.T) {
+	two(t, func(t *testing.T, s *standin.Store, a, b *office) {
+		b.stall() // as between two of its watches
+		_ = b.Follow.Barrier(t.Context())
+		a.ask(t, "submit", "wk-1", "pending")
+		a.ask(t, "cancel", "wk-1", "withdrawn")
+		b.ask(t, "submit", "wk-1", "withdrawn")
+	})
+}
+
+// TestRepeatOvertakenWhileWritten: a submission is looked up before another controller accepts the
+// job, and leaves only after that one has told that it is cancelled.
+func TestRepeatOvertakenWhileWritten(t *testing.T) {
+	two(t, func(t *testing.T, s *standin.Store, a, b *office) {
+		_ = b.Follow.Barrier(t.Context())
+		b.stall()
+		b.hold(800 * time.Millisecond)
+		told := make(chan bool)
+		go func() {
+			b.ask(t, "submit", "wk-1", "withdrawn")
+			close(told)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		a.ask(t, "submit", "wk-1", "pending")
+		a.ask(t, "cancel", "wk-1", "withdrawn")
+		<-told
+		if n := len(s.Page(store.BatchKey(""), "", 0).Items); n != 2 {
+			t.Errorf("the job has %d homes", n)
+		}
+		for _, o := range []*office{a, b} {
+			_ = o.Follow.Barrier(t.Context())
+			if _, live := o.View.Live("wk-1"); live {
+				t.Error("the job is back")
+			}
+		}
+	})
+}
+
+// TestOlderListAfterOwnWrite: a list that was begun before a cancellation is taken in after it was
+// told. What is asked next is read behind a barrier, and no launch finds the job's home as the list shows it.
+func TestOlderListAfterOwnWrite(t *testing.T) {
+	two(t, func(t *testing.T, s *standin.Store, a, b *office) {
+		a.ask(t, "submit", "wk-1", "pending")
+		a.ask(t, "submit", "wk-2", "pending")
+		_ = a.Follow.Barrier(t.Context())
+		a.stall()
+		time.Sleep(5 * time.Second) // its last watch is over
+		list := s.Page(store.Root, "", 0)
+		for i, how := range []string{"status", "submit", "cancel"} {
+			if i == 0 {
+				a.ask(t, "cancel", "wk-1", "withdrawn")
+			}
+			a.View.Load(list.Items, list.Revision, &wire.Changes{Revision: list.Revision})
+			if _, live := a.View.Live("wk-1"); i == 0 && !live {
+				t.Error("the list was not taken in")
+			}
+			a.ask(t, how, "wk-1", "withdrawn")
+		}
+		b.ask(t, "status", "wk-1", "withdrawn")
+		b.ask(t, "status", "wk-2", "pending")
+	})
+}
+
 // TestAnotherBody: a submission that comes again with a body that would be refused is that of
 // the accepted job, be it accepted elsewhere just now or folded long ago, and so is a
 // cancellation that comes again.
