Ready: whoever reaches neither the store nor a sibling steps aside

A leader cut from both called itself ready for as long as the cut lasted: its users stayed on their connections, and every question was answered 503 after 1.7 s. It is not ready now, answers at once what memory can't tell, and closes the connection. A submission that is not understood waits no longer than a question.

--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -91,16 +91,27 @@
 	if open, _ := c.format.Open(); !open && c.view.Loaded() {
 		return false
 	}
+	return !c.apart()
+}
+
+// apart reports whether the store is out of reach here while others may reach it. Whoever
+// hears no sibling either can't know that all share its outage, and is rather cut off itself:
+// as long as it called itself ready, its users stayed and asked in vain.
+func (c *Controller) apart() bool {
 	at, failing := c.follow.Reached()
 	if c.view.Loaded() && (!failing || time.Since(at) < 2*time.Second) {
-		return true
+		return false
 	}
-	for _, b := range c.mesh.Last(3 * time.Second) {
+	beats := c.mesh.Last(3 * time.Second)
+	for _, b := range beats {
 		if b.StoreOK {
-			return false
+			return true
 		}
 	}
-	return time.Since(c.begun) > loadTime
+	if len(beats) == 0 && len(c.cfg.Siblings) > 0 {
+		return true
+	}
+	return time.Since(c.begun) <= loadTime
 }
 
 // measure gathers what the metrics tell.
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -28,6 +28,8 @@
 	Count func(job string) round.Count
 	// Ready says whether users can be served here.
 	Ready func() bool
+	// Apart says that the state service is out of reach here and others may reach it.
+	Apart func() bool
 }
 
 // later answers that the request can't be served, and when to come back.
@@ -56,10 +58,14 @@
 		if req.Method != "POST" {
 			return fail(405, "use POST")
 		}
+		ctx, cancel := d.unlessApart(ctx)
+		defer cancel()
 		return d.Submit(ctx, req.Body)
 	case rest[0] != '/':
 		return fail(404, "no such path")
 	default:
+		ctx, cancel := d.unlessApart(ctx)
+		defer cancel()
 		id, word, more := strings.Cut(rest[1:], "/")
 		switch {
 		case more && word != wire.CancelWord && word != wire.WorkWord:
@@ -77,6 +83,16 @@
 	}
 }
 
+// unlessApart ends the context at once where waiting for the state service is in vain: what memory
+// tells for ever is answered, and for the rest another controller is asked the sooner.
+func (d *Desk) unlessApart(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if d.Apart() {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 // status gives the answer about a job that the view knows.
 func (d *Desk) status(code int, id string, rec store.JobRecord) *httpwire.Response {
 	s := wire.JobStatus{ID: id, Stage: rec.Stage}
@@ -117,6 +133,8 @@
 // malformed refuses a submission that is not understood, unless it names a job that was accepted:
 // whatever else such a repeat says, the job is known.
 func (d *Desk) malformed(ctx context.Context, body []byte, why error) *httpwire.Response {
+	ctx, cancel := context.WithTimeout(ctx, pollPatience) // or it takes as long as the state service does
+	defer cancel()
 	if id := wire.SubmittedID(body); id != "" {
 		if rec, err := d.Door.Status(ctx, id); !errors.Is(err, door.ErrUnknown) {
 			return d.answer(200, id, rec, err)
@@ -167,6 +185,8 @@
 		resp.RetryAfter = 5 * time.Second
 	case errors.Is(err, door.ErrHere):
 		resp.Close = true // it would keep its user here, question after question
+	case !d.Ready():
+		resp.Close = true // as above; the load balancer brings its user to another
 	}
 	return resp
 }
