--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -105,7 +105,7 @@
 		Closer: door.NewCloser(c.client, c.view, c.follow, cfg.Store.TxnOps),
 		Types:  c.machineTypes, Open: c.open, Route: c.route, Backlog: cfg.Tuning.History.Backlog, Accepted: c.wake}
 	c.door.Intake.First = cfg.Tiers().First
-	c.desk = &user.Desk{Door: c.door, Log: log, Count: c.count, Ready: c.ready, Apart: c.apart}
+	c.desk = &user.Desk{Door: c.door, Log: log, Count: c.count, Ready: c.ready, Vain: c.vain}
 	return c
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -91,15 +91,19 @@
 	if open, _ := c.format.Open(); !open && c.view.Loaded() {
 		return false
 	}
-	return !c.apart()
+	return !c.apart(2 * time.Second)
 }
 
-// apart reports whether the store is out of reach here while others may reach it. Whoever
-// hears no sibling either can't know that all share its outage, and is rather cut off itself:
-// as long as it called itself ready, its users stayed and asked in vain.
-func (c *Controller) apart() bool {
+// vain reports whether questions that the store must answer are not even worth a try. A store
+// that is slow, or refuses a call now and then, is still of use.
+func (c *Controller) vain() bool { return c.apart(5 * time.Second) }
+
+// apart reports whether the store has been out of reach here for so long while others may reach
+// it. Whoever hears less than most controllers can't know that all share its outage, and is rather
+// cut off itself: as long as it called itself ready, its users stayed and asked in vain.
+func (c *Controller) apart(quiet time.Duration) bool {
 	at, failing := c.follow.Reached()
-	if c.view.Loaded() && (!failing || time.Since(at) < 2*time.Second) {
+	if c.view.Loaded() && (!failing || time.Since(at) < quiet) {
 		return false
 	}
 	beats := c.mesh.Last(3 * time.Second)
@@ -108,7 +112,7 @@
 			return true
 		}
 	}
-	if len(beats) == 0 && len(c.cfg.Siblings) > 0 {
+	if alone := (len(beats)+1)*2 <= len(c.cfg.Siblings)+1; alone {
 		return true
 	}
 	return time.Since(c.begun) <= loadTime
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -28,8 +28,9 @@
 	Count func(job string) round.Count
 	// Ready says whether users can be served here.
 	Ready func() bool
-	// Apart says that the state service is out of reach here and others may reach it.
-	Apart func() bool
+	// Vain says that the state service has been out of reach here for a while, and others may
+	// reach it.
+	Vain func() bool
 }
 
 // later answers that the request can't be served, and when to come back.
@@ -58,13 +59,13 @@
 		if req.Method != "POST" {
 			return fail(405, "use POST")
 		}
-		ctx, cancel := d.unlessApart(ctx)
+		ctx, cancel := d.unlessVain(ctx)
 		defer cancel()
 		return d.Submit(ctx, req.Body)
 	case rest[0] != '/':
 		return fail(404, "no such path")
 	default:
-		ctx, cancel := d.unlessApart(ctx)
+		ctx, cancel := d.unlessVain(ctx)
 		defer cancel()
 		id, word, more := strings.Cut(rest[1:], "/")
 		switch {
@@ -83,11 +84,11 @@
 	}
 }
 
-// unlessApart ends the context at once where waiting for the state service is in vain: what memory
+// unlessVain ends the context at once where waiting for the state service is in vain: what memory
 // tells for ever is answered, and for the rest another controller is asked the sooner.
-func (d *Desk) unlessApart(ctx context.Context) (context.Context, context.CancelFunc) {
+func (d *Desk) unlessVain(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	if d.Apart() {
+	if d.Vain() {
 		cancel()
 	}
 	return ctx, cancel
@@ -133,7 +134,7 @@
 // malformed refuses a submission that is not understood, unless it names a job that was accepted:
 // whatever else such a repeat says, the job is known.
 func (d *Desk) malformed(ctx context.Context, body []byte, why error) *httpwire.Response {
-	ctx, cancel := context.WithTimeout(ctx, pollPatience) // or it takes as long as the state service does
+	ctx, cancel := context.WithTimeout(ctx, pollPatience) // the state service may not answer at all
 	defer cancel()
 	if id := wire.SubmittedID(body); id != "" {
 		if rec, err := d.Door.Status(ctx, id); !errors.Is(err, door.ErrUnknown) {
