--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -170,7 +170,7 @@
 // accept writes a job that was not found, or refuses it.
 func (d *Door) accept(ctx context.Context, job *wire.Job, gate uint64) (rec store.JobRecord, created bool, err error) {
 	types := d.Types()
-	if types == nil || !d.Open() {
+	if types == nil || !d.Open() || ctx.Err() != nil { // one that nobody waits for takes no place in the queue
 		return rec, false, ErrLater
 	}
 	if _, over, _, _ := d.View.Size(); over > d.Backlog {
@@ -228,7 +228,7 @@
 			return rec, ErrUnknown
 		case rec.Stage.Final():
 			return rec, nil
-		case !d.Open():
+		case !d.Open(), ctx.Err() != nil:
 			return rec, ErrLater
 		}
 		end, err := d.Closer.Cancel(ctx, id)
