--- a/ends_sim_test.go
+++ b/ends_sim_test.go
@@ -18,10 +18,10 @@
 
 // Jobs of two or three tasks that end far apart, while holders change.
 
-// apart submits jobs of so few tasks that they end one after the other: each needs more than
+// endingApart submits jobs of so few tasks that they end one after the other: each needs more than
 // half of its team's limit, or is a gang, or is long beside a short one. It tells how many
 // tasks they have.
-func (w *world) apart() (tasks int) {
+func (w *world) endingApart() (tasks int) {
 	for i, j := range []wire.Job{
 		{Shape: wire.Array, Team: "red", Tasks: 3, GPUs: 4},
 		{Shape: wire.Array, Team: "blue", Tasks: 3, GPUs: 3},
@@ -181,7 +181,7 @@
 		}
 	})
 	time.Sleep(8 * time.Second)
-	tasks := w.apart()
+	tasks := w.endingApart()
 	time.Sleep(3 * time.Minute)
 	if open := w.check.Open(); len(open) > 0 {
 		t.Errorf("still open: %v", open)
--- a/internal/user/user.go
+++ b/internal/user/user.go
@@ -28,6 +28,9 @@
 	Count func(job string) round.Count
 	// Ready says whether users can be served here.
 	Ready func() bool
+	// Vain says that the state service has been out of reach here for a while, and others may
+	// reach it.
+	Vain func() bool
 }
 
 // later answers that the request can't be served, and when to come back.
@@ -56,10 +59,14 @@
 		if req.Method != "POST" {
 			return fail(405, "use POST")
 		}
+		ctx, cancel := d.unlessVain(ctx)
+		defer cancel()
 		return d.Submit(ctx, req.Body)
 	case rest[0] != '/':
 		return fail(404, "no such path")
 	default:
+		ctx, cancel := d.unlessVain(ctx)
+		defer cancel()
 		id, word, more := strings.Cut(rest[1:], "/")
 		switch {
 		case more && word != wire.CancelWord && word != wire.WorkWord:
@@ -77,6 +84,16 @@
 	}
 }
 
+// unlessVain ends the context at once where waiting for the state service is in vain: what memory
+// tells for ever is answered, and for the rest another controller is asked the sooner.
+func (d *Desk) unlessVain(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if d.Vain() {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 // status gives the answer about a job that the view knows.
 func (d *Desk) status(code int, id string, rec store.JobRecord) *httpwire.Response {
 	s := wire.JobStatus{ID: id, Stage: rec.Stage}
@@ -117,6 +134,8 @@
 // malformed refuses a submission that is not understood, unless it names a job that was accepted:
 // whatever else such a repeat says, the job is known.
 func (d *Desk) malformed(ctx context.Context, body []byte, why error) *httpwire.Response {
+	ctx, cancel := context.WithTimeout(ctx, pollPatience) // the state service may not answer at all
+	defer cancel()
 	if id := wire.SubmittedID(body); id != "" {
 		if rec, err := d.Door.Status(ctx, id); !errors.Is(err, door.ErrUnknown) {
 			return d.answer(200, id, rec, err)
@@ -167,6 +186,8 @@
 		resp.RetryAfter = 5 * time.Second
 	case errors.Is(err, door.ErrHere):
 		resp.Close = true // it would keep its user here, question after question
+	case !d.Ready():
+		resp.Close = true // as above; the load balancer brings its user to another
 	}
 	return resp
 }
