Import: late copies of its writes are refused

A transaction without an answer may be carried out minutes later. Each put of an import was conditional on its key being absent, the last write, which sets the counter of terms, on nothing: a copy after controllers had begun to claim would set the counter back, bring folded batches back as live jobs, or (a state of version 1) close a state in use. All are conditional on the marker of the import now, and the marker on there being no counter of terms.

Claim: the change of tiers is conditional on the counter of terms as well; that no part is held comes true again and again.

--- a/internal/claim/run.go
+++ b/internal/claim/run.go
@@ -240,13 +240,13 @@
 // Where they are set otherwise nothing is claimed: one holder would take what the next
 // guarantees. Once nobody holds a part and all that live are set alike, the state follows.
 func (k *Keeper) tiered(ctx context.Context) (wire.Condition, bool) {
-	rec := k.View.Tiers()
+	rec, counter := k.View.Tiers(), k.View.Term()
 	cond := wire.Condition{Key: store.TiersKey, Version: rec.Version}
 	if !k.View.Loaded() || rec.Record.Digest == k.Tiers {
 		k.untiers = ""
 		return cond, k.View.Loaded()
 	}
-	if err := k.retier(ctx, cond); err != nil && err.Error() != k.untiers {
+	if err := k.retier(ctx, cond, counter); err != nil && err.Error() != k.untiers {
 		k.untiers = err.Error()
 		level := slog.LevelError
 		if errors.Is(err, errUnheard) {
@@ -258,12 +258,14 @@
 	return cond, false
 }
 
-// retier writes how the tiers are set here, or says why not.
-func (k *Keeper) retier(ctx context.Context, cond wire.Condition) error {
+// retier writes how the tiers are set here, or says why not. That no part is held is a condition
+// that comes true again and again, and holds for the parts of this grouping alone: the counter
+// of terms, read before anyone was asked, refuses a copy that comes after another claim.
+func (k *Keeper) retier(ctx context.Context, cond wire.Condition, counter store.Versioned[uint64]) error {
 	if err := k.movable(); err != nil {
 		return err
 	}
-	txn := wire.Txn{If: []wire.Condition{cond}, Then: []wire.Change{{Put: store.TiersKey, Value: store.TiersRecord{Digest: k.Tiers}}}}
+	txn := wire.Txn{If: []wire.Condition{cond, {Key: store.TermKey, Version: counter.Version}}, Then: []wire.Change{{Put: store.TiersKey, Value: store.TiersRecord{Digest: k.Tiers}}}}
 	for _, part := range k.Group.Parts() {
 		txn.If = append(txn.If, wire.Condition{Key: store.PartKey(part)})
 	}
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -219,3 +219,50 @@
 	_, _, _, err := Read(&file)
 	return err
 }
+
+// kept remembers every transaction that an import makes.
+type kept struct {
+	*state
+	made []wire.Txn
+}
+
+func (k *kept) Txn(ctx context.Context, t wire.Txn) (uint64, error) {
+	k.made = append(k.made, t)
+	return k.state.Txn(ctx, t)
+}
+
+// TestLateCopiesOfAnImport: each write of an import is carried out once more when controllers have
+// worked on the state for a while: the counter of terms has risen, and what was put in is gone
+// again. None is taken; also not where a state of version 1 was put in, which has no marker.
+func TestLateCopiesOfAnImport(t *testing.T) {
+	for name, before := range map[string]func(s *state){
+		"format 2": func(*state) {},
+		"format 1": func(s *state) {
+			s.Commit(wire.Txn{Then: []wire.Change{{Delete: store.FormatKey}}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			from, to := sample(t), &kept{state: newState()}
+			before(from)
+			items, _, err := Take(t.Context(), from, quiet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			term, err := Restore(t.Context(), to, items, "sum", Limits{ValueBytes: 8192, TxnOps: 12}, silent)
+			if err != nil {
+				t.Fatal(err)
+			}
+			to.put(t, store.TermKey, term+1)
+			for _, it := range to.Page(store.Root, "", 0).Items {
+				if kind := store.Kind(it.Key); kind == "batch" || kind == "ledger" {
+					to.Commit(wire.Txn{Then: []wire.Change{{Delete: it.Key}}})
+				}
+			}
+			for _, txn := range to.made {
+				if status, _ := to.Commit(txn); status != 409 {
+					t.Errorf("a late copy of the write of %s: %d", txn.Then[0].Put, status)
+				}
+			}
+		})
+	}
+}
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -125,7 +125,7 @@
 // Restore puts a state into an empty state service. One that was broken off goes
 // on with the same file. Until it is through, every controller stands back.
 func Restore(ctx context.Context, s State, items []wire.Item, sum string, lim Limits, progress func(done, all int)) (term uint64, err error) {
-	there, err := begin(ctx, s, sum)
+	there, mark, err := begin(ctx, s, sum)
 	if err != nil {
 		return 0, err
 	}
@@ -141,6 +141,9 @@
 		if len(txn.Then) == 0 {
 			return nil
 		}
+		// A copy that comes late finds the marker written over: its keys may be absent again by
+		// then, and a batch of jobs that were folded long ago must not come back.
+		txn.If = append(txn.If, mark)
 		err := put(ctx, s, txn)
 		txn, bytes = wire.Txn{}, 0
 		return err
@@ -194,7 +197,7 @@
 	if err := flush(); err != nil {
 		return 0, err
 	}
-	return term + TermMargin, finish(ctx, s, format, term+TermMargin)
+	return term + TermMargin, finish(ctx, s, mark, format, term+TermMargin)
 }
 
 // since orders what is put in: a batch that was written again is as old as its
@@ -208,46 +211,63 @@
 }
 
 // begin marks an empty state service, or finds what an import that was broken off
-// has left there.
-func begin(ctx context.Context, s State, sum string) (there map[string]bool, err error) {
-	items, _, err := Take(ctx, s, func(int, string) {})
-	if err != nil {
-		return nil, err
-	}
-	there = make(map[string]bool)
-	var m store.FormatRecord
-	for _, it := range items {
-		there[it.Key] = true
-		if it.Key == store.FormatKey {
-			_ = wire.DecodeValue(it.Value, &m)
+// has left there. It gives the condition that the marker still stands.
+func begin(ctx context.Context, s State, sum string) (there map[string]bool, mark wire.Condition, err error) {
+	for marked := false; ; marked = true {
+		items, _, err := Take(ctx, s, func(int, string) {})
+		if err != nil {
+			return nil, mark, err
+		}
+		there = make(map[string]bool)
+		var m store.FormatRecord
+		for _, it := range items {
+			there[it.Key] = true
+			if it.Key == store.FormatKey {
+				_ = wire.DecodeValue(it.Value, &m)
+				mark = wire.Condition{Key: it.Key, Version: it.Version}
+			}
+		}
+		switch {
+		case len(items) > 0 && (m.Format != importing || m.Import != sum), len(items) == 0 && marked:
+			return nil, mark, fmt.Errorf("%w: it holds %d keys, the first is %s", ErrNotEmpty, len(items), first(items))
+		case len(items) > 0:
+			return there, mark, nil
+		}
+		// A state of version 1 has no marker once it is in, but every state has a counter of
+		// terms from then on: a copy of this that comes late must not close a state in use.
+		if err := put(ctx, s, wire.Txn{If: []wire.Condition{{Key: store.FormatKey}, {Key: store.TermKey}},
+			Then: []wire.Change{{Put: store.FormatKey, Value: store.FormatRecord{Format: importing, Import: sum}}}}); err != nil {
+			return nil, mark, err
 		}
 	}
-	if len(items) > 0 && (m.Format != importing || m.Import != sum) {
-		return nil, fmt.Errorf("%w: it holds %d keys, the first is %s", ErrNotEmpty, len(items), items[0].Key)
-	}
-	if len(items) > 0 {
-		return there, nil
+}
+
+func first(items []wire.Item) string {
+	if len(items) == 0 {
+		return "none"
 	}
-	return there, put(ctx, s, wire.Txn{If: []wire.Condition{{Key: store.FormatKey}}, Then: []wire.Change{{Put: store.FormatKey, Value: store.FormatRecord{Format: importing, Import: sum}}}})
+	return items[0].Key
 }
 
-// finish sets the counter of terms and opens the state to controllers.
-func finish(ctx context.Context, s State, format int, term uint64) error {
+// finish sets the counter of terms and opens the state to controllers, once: a copy that comes
+// after they have begun to claim would set the counter back, and terms, attempts and names of
+// rentals would come twice.
+func finish(ctx context.Context, s State, mark wire.Condition, format int, term uint64) error {
 	open := wire.Change{Put: store.FormatKey, Value: store.FormatRecord{Format: format}}
 	if format == 0 { // of version 1, which had no marker
 		open = wire.Change{Delete: store.FormatKey}
 	}
-	return put(ctx, s, wire.Txn{Then: []wire.Change{{Put: store.TermKey, Value: term}, open}})
+	return put(ctx, s, wire.Txn{If: []wire.Condition{mark}, Then: []wire.Change{{Put: store.TermKey, Value: term}, open}})
 }
 
 // put makes a write. Nobody else writes, so that one without an answer can be made
-// again, and a conflict after that means that it was taken.
+// again, and a conflict after that on a key that it changes means that it was taken.
 func put(ctx context.Context, s State, txn wire.Txn) error {
 	unsure := false
 	return again(ctx, func() error {
 		_, err := s.Txn(ctx, txn)
 		var conflict *store.ConflictError
-		if errors.As(err, &conflict) && unsure {
+		if errors.As(err, &conflict) && unsure && slices.ContainsFunc(txn.Then, func(c wire.Change) bool { return slices.Contains(conflict.Failed, c.Put+c.Delete) }) {
 			return nil
 		}
 		unsure = unsure || errors.Is(err, store.ErrUnknown)
