Regrouping: a gang of which one part has seen the end is done in one part too

A gang ran in two parts. One had written its share as done, the other's machine was lost before it had, and the state was divided anew into one part. There nobody else says that the gang is done, and the task that was left was started alone and torn again, ever so many times a second: the job was pending for ever. A share that the record calls done now finishes the whole gang there, as it does in several parts.

--- a/internal/round/carry.go
+++ b/internal/round/carry.go
@@ -66,7 +66,10 @@
 				j.finished.Set(i)
 				j.stored.Set(i)
 			}
-			h.fresh[id] = true
+			// One part has seen a gang complete and the others' word was never written: where
+			// the fleet is one part again nobody else says so, and what is left would be
+			// started for ever, without its mates.
+			h.finish(wire.TaskID{Job: id, Index: s.From}, j)
 		}
 	}
 }
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -168,8 +168,11 @@
 		return b.claim(uint64(num("term", 1)))
 	case "parts": // the fleet is in parts by zone, of which the first is claimed here
 		b.cfg.Tuning.Parts.By, b.cfg.Zones, b.part = "zone", w[1:], w[1]
-	case "divided": // anew, into parts by zone, of which the first is claimed here
-		b.cfg.Tuning.Parts.By, b.cfg.Zones, b.part = "zone", w[1:], w[1]
+	case "divided": // anew, into parts by zone, of which the first is claimed here, or into one
+		b.cfg.Tuning.Parts.By, b.part = "off", "fleet"
+		if len(w) > 1 {
+			b.cfg.Tuning.Parts.By, b.cfg.Zones, b.part = "zone", w[1:], w[1]
+		}
 		state := b.view.State()
 		txn, err := regroup.Next(&state, b.cfg.Grouping(), func(job string) (store.Takes, bool) {
 			rec, _ := b.view.Job(job)
