Test: rentals and releases carried out late

Rentals after their holder was told that there is no room, so that it gave them up; releases of idle machines after the next holder has put work there. What was rented so is used or returned, what ran there runs again, no rule breaks.

--- a/latewrites_sim_test.go
+++ b/latewrites_sim_test.go
@@ -619,3 +619,163 @@
 		}
 	}
 }
+
+// lateCloud stands between the controllers and the cloud. It holds some rentals and releases
+// back without an answer, and carries them out later, after newer requests.
+type lateCloud struct {
+	*world
+	mu       sync.Mutex
+	requests map[string]int       // of each kind, copies aside
+	begun    map[string]time.Time // when each was first sent
+	held     map[string]time.Time // until when its copies fare badly
+	newer    int                  // requests that were carried out as they came
+	given    map[string]bool      // rentals of which a copy was refused: the holder has given them up
+	got      map[string]bool      // machines that were rented so, after that
+	used     int                  // releases that hit a machine in use
+	late     map[string]int       // of each kind, after newer ones
+	released func(names []string) // called when a release is held back
+}
+
+func (l *lateCloud) listen(addr string) {
+	host := l.net.Host(standin.HostOf(addr))
+	caller := &transport.Caller{Limit: 8 << 20, Dial: host.Dial}
+	pass := func(ctx context.Context, req *httpwire.Request) *httpwire.Response {
+		target := req.Path
+		if req.Query != "" {
+			target += "?" + req.Query
+		}
+		resp, err := caller.Call(ctx, "10.2.0.2:8443", req.Method, target, req.Body)
+		if err != nil {
+			return nil
+		}
+		return &httpwire.Response{Status: resp.Status, Body: resp.Body}
+	}
+	go host.Listen(l.ctx, addr, 0, func(ctx context.Context, s transport.Stream) {
+		r := bufio.NewReader(s)
+		for {
+			req, err := httpwire.ReadRequest(r, 1<<20)
+			if err != nil {
+				return
+			}
+			status := l.meet(req, func() *httpwire.Response { return pass(l.ctx, req) })
+			var resp *httpwire.Response
+			switch status {
+			case 200:
+				resp = pass(ctx, req)
+			case 503:
+				resp = &httpwire.Response{Status: 503, Body: wire.Encode(wire.Failure{Error: "no capacity"})}
+			}
+			if resp == nil {
+				time.Sleep(4100 * time.Millisecond)
+				return
+			}
+			if _, err := s.Write(httpwire.AppendResponse(nil, resp)); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// meet says what becomes of a request: 200 stands for what the cloud says.
+func (l *lateCloud) meet(req *httpwire.Request, carryOut func() *httpwire.Response) int {
+	kind := map[string]string{wire.PathRentals: "rental", wire.PathRelease: "release"}[req.Path]
+	if req.Method != "POST" || kind == "" {
+		return 200
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	id, now := kind+string(req.Body), time.Now()
+	if at, known := l.begun[id]; known {
+		switch {
+		case l.held[id].Before(now):
+			l.newer++
+			return 200
+		case kind == "rental" && now.Sub(at) > 4*time.Second: // the second copy is refused
+			l.given[id] = true
+			return 503
+		}
+		return 0
+	}
+	l.begun[id] = now
+	n := l.requests[kind]
+	l.requests[kind]++
+	if n%2 == 1 {
+		l.newer++
+		return 200
+	}
+	late := time.Duration(10+20*(n%3)) * time.Second
+	l.held[id] = now.Add(9 * time.Second)
+	newer := l.newer
+	time.AfterFunc(late, func() {
+		before, _ := l.check.Counts()
+		resp := carryOut()
+		after, _ := l.check.Counts()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if resp == nil || l.newer == newer {
+			return
+		}
+		l.late[kind]++
+		if kind == "release" && after < before {
+			l.used++
+		}
+		var names wire.MachineNames
+		if kind == "rental" && l.given[id] && resp.Status == 200 && wire.Decode(resp.Body, &names) == nil {
+			for _, name := range names.Machines {
+				l.got[name] = true
+			}
+		}
+	})
+	if kind == "release" {
+		var names wire.MachineNames
+		_ = wire.Decode(req.Body, &names)
+		go l.released(names.Machines)
+	}
+	return 0
+}
+
+// TestLateRentals carries rentals out after their holder was told that there is no room, and
+// releases after another has put work on the machine: what was rented so is used or returned, what
+// ran there runs again, and no rule breaks.
+func TestLateRentals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 81, 0, func(c *config.Config) { c.CloudAddr, c.Tuning.Idle = "10.2.1.60:8443", 6*time.Second })
+		l := &lateCloud{world: w, requests: map[string]int{}, begun: map[string]time.Time{}, held: map[string]time.Time{}, given: map[string]bool{},
+			got: map[string]bool{}, late: map[string]int{}}
+		jobs := 0
+		array := func(run time.Duration) {
+			jobs++
+			w.user(&wire.Job{ID: fmt.Sprint("wk-", jobs), Class: "c", Team: "blue", Shape: wire.Array, Priority: wire.Normal, Tasks: 10, CPUs: 2, GPUs: 1, MemoryGB: 8,
+				Image: "img", ImageGB: 1, EstimateS: run.Seconds()}, run, 0)
+		}
+		kills := 0
+		var once sync.Mutex
+		l.released = func([]string) { // nobody remembers: the next holder goes on with the machine
+			once.Lock()
+			defer once.Unlock()
+			if h := w.holders()["fleet"]; h != "" && kills < 3 {
+				kills++
+				w.kill(int(h[2]-'0'), 3*time.Second)
+				array(40 * time.Second)
+			}
+		}
+		l.listen("10.2.1.60:8443")
+		for range 6 {
+			array(15 * time.Second)
+			time.Sleep(45 * time.Second)
+		}
+		time.Sleep(3 * time.Minute) // what nobody needs is returned
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.late["rental"] == 0 || l.late["release"] == 0 || len(l.got) == 0 || l.used == 0 {
+			t.Errorf("carried out late: %v, machines that nobody waited for: %v, releases of what was in use: %d", l.late, l.got, l.used)
+		}
+		w.cloud.Each(func(m wire.ListedMachine, _ standin.Machine) {
+			if l.got[m.ID] {
+				t.Errorf("%s, which was rented late, is neither used nor returned", m.ID)
+			}
+		})
+		w.finish(10 * time.Minute)
+		w.judge()
+	})
+}
