--- a/gap_sim_test.go
+++ b/gap_sim_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -64,8 +65,12 @@
 	"loose",        // direct launches of these jobs are held up, and have no answer
 	"loose cloud",  // and machines can't be released
 	"passed",       // the holder reaches no machine but by the siblings
-	"held",         // what the holder sends is held by the network, and delivered late
-	"apart",        // the siblings reach neither the machines nor the holder
+	"blind",        // the renewals of the holder are answered, and none of its reads is
+	"blind slow",
+	"blind deaf",
+	"blind asked",
+	"held",  // what the holder sends is held by the network, and delivered late
+	"apart", // the siblings reach neither the machines nor the holder
 	"apart slow",
 	"apart deaf",
 	"late both",
@@ -189,15 +194,17 @@
 	seen    *watcher
 	mu      sync.Mutex
 	workers map[string]*standin.Worker
-	held    time.Duration // for which direct calls are held up now
-	stuck   int           // that were
+	held    time.Duration     // for which direct calls are held up now
+	stuck   int               // that were
+	blind   map[int]bool      // controllers that get no answer to a read
+	renewed map[int]time.Time // when the lease of each was last renewed
 	told    map[string]time.Time
 }
 
 const gapUser = "10.3.0.9"
 
 func newGapWorld(t *testing.T, g gap, seed uint64) *gapWorld {
-	w := &gapWorld{gap: g, workers: map[string]*standin.Worker{}, told: map[string]time.Time{}}
+	w := &gapWorld{gap: g, workers: map[string]*standin.Worker{}, blind: map[int]bool{}, renewed: map[int]time.Time{}, told: map[string]time.Time{}}
 	w.world = newWorldOf(t, g.nodes, seed, 0, func(c *config.Config) {
 		c.Workers.Lease, c.Workers.Cancel = g.lease, g.cancel
 		c.Tuning.KeepReports = g.keep
@@ -208,7 +215,7 @@
 	})
 	for i := range g.nodes {
 		addr := fmt.Sprintf("10.2.1.%d:2379", i+1)
-		go w.net.Host(standin.HostOf(addr)).Listen(w.ctx, addr, 0, w.store.ServeTo(w.ip(i)))
+		go w.net.Host(standin.HostOf(addr)).Listen(w.ctx, addr, 0, w.front(i))
 	}
 	w.check.Cancel = g.cancel
 	w.seen = &watcher{Checker: w.check, on: map[wire.TaskID]map[string]bool{}, left: map[string]time.Time{}, gone: map[string]int{}}
@@ -312,13 +319,62 @@
 
 func (w *gapWorld) lost() (n int) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, m := range w.workers {
+	all := slices.Collect(maps.Values(w.workers))
+	w.mu.Unlock()
+	for _, m := range all {
 		n += m.Lost()
 	}
 	return n
 }
 
+// front is a controller's way to the state service. Renewals that are answered are noted, and
+// while the controller is blind no answer to a read gets through: the service is slow, or what
+// lies between holds it up.
+func (w *gapWorld) front(i int) transport.ServeConn {
+	serve := w.store.ServeTo(w.ip(i))
+	return func(ctx context.Context, s transport.Stream) { serve(ctx, &fronted{Stream: s, world: w, node: i}) }
+}
+
+type fronted struct {
+	transport.Stream
+	world       *gapWorld
+	node        int
+	read, renew bool // what was asked last
+}
+
+func (f *fronted) Read(p []byte) (int, error) {
+	n, err := f.Stream.Read(p)
+	if line, _, ok := bytes.Cut(p[:n], []byte("\r\n")); ok && bytes.HasSuffix(line, []byte(" HTTP/1.1")) {
+		f.read, f.renew = bytes.HasPrefix(line, []byte("GET ")), bytes.Contains(line, []byte("/"+wire.RenewWord+" "))
+	}
+	return n, err
+}
+
+func (f *fronted) Write(p []byte) (int, error) {
+	w := f.world
+	for f.read && w.isBlind(f.node) && w.ctx.Err() == nil {
+		time.Sleep(50 * time.Millisecond)
+	}
+	if f.renew && bytes.HasPrefix(p, []byte("HTTP/1.1 200")) {
+		w.mu.Lock()
+		w.renewed[f.node] = time.Now()
+		w.mu.Unlock()
+	}
+	return f.Stream.Write(p)
+}
+
+func (w *gapWorld) isBlind(i int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.blind[i]
+}
+
+func (w *gapWorld) blinded(i int, blind bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.blind[i] = blind
+}
+
 // gapJobs are tasks of every kind: that run, wait for their gang, and, of the last ones, that
 // are yet to come.
 func gapJobs(now bool) []*wire.Job {
@@ -343,6 +399,7 @@
 	room           time.Duration          // that was left when the last task was gone
 	rest, killed   int                    // tasks that nobody cancelled, and how many of them were gone before the service was back
 	lost           int                    // leases that ran out
+	renewed        time.Duration          // from the refusal to the last renewal of the holder before the service was back
 	stuck          int                    // direct calls that were held up
 	states         map[wire.TaskState]int // of the tasks when they were cancelled
 }
@@ -555,8 +612,9 @@
 	if g.has("cloud") {
 		w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = true })
 	}
+	w.blinded(leader, g.has("blind"))
 	if g.refused >= 0 {
-		w.store.Refuse(w.ip(leader), true)
+		w.store.Refuse(w.ip(leader), !g.has("blind"))
 	}
 	refused := time.Now()
 	time.Sleep(max(g.refused, 0))
@@ -590,6 +648,10 @@
 	w.befall(leader, others, rand.New(rand.NewPCG(seed, 8)))
 	time.AfterFunc(g.lease, func() { w.watch(g.cancel - g.lease + time.Second) })
 	w.outage(w.ip(leader), true)
+	w.mu.Lock()
+	m.renewed = w.renewed[leader].Sub(refused)
+	w.mu.Unlock()
+	w.blinded(leader, false)
 	if g.again > 0 {
 		time.Sleep(g.again)
 		w.store.Refuse(w.ip(leader), true)
@@ -599,7 +661,7 @@
 	m.killed += w.seen.went(rest)
 	time.Sleep(max(0, g.cancel+15*time.Second-time.Since(confirmed))) // what was held up has come, and an image since
 	from := confirmed
-	if g.refused > g.cancel-g.lease-13*time.Second { // it may have stopped by then
+	if g.refused > g.cancel-g.lease-13*time.Second || g.has("apart") { // it may have stopped by then
 		from = refused
 	}
 	all, by := w.seen.answered(from, term, on)
@@ -630,6 +692,8 @@
 		t.Error("no answer came straight from the holder")
 	case g.has("passed") && m.passed == 0:
 		t.Error("no answer came by a sibling")
+	case g.has("blind") && m.renewed < g.refused+g.outage-4*time.Second:
+		t.Error("the holder that read nothing did not renew its lease")
 	case g.has("loose") && m.stuck == 0:
 		t.Error("no direct call was held up")
 	}
@@ -667,7 +731,7 @@
 			for _, by := range []string{"", "zone"} {
 				for _, keep := range []int{0, 200} {
 					for _, refused := range []time.Duration{-3 * s, -50 * ms, 0, ms, 100 * ms, s, 2 * s, 4 * s, 6 * s, 8 * s, 9 * s, 12 * s, 16 * s, 20 * s} {
-						for _, outage := range []time.Duration{0, 10 * ms, 500 * ms, 2 * s, 5 * s} {
+						for _, outage := range []time.Duration{0, 10 * ms, 500 * ms, 2 * s, 5 * s, 12 * s} {
 							for _, lasts := range []time.Duration{0, times[0] - 8*s, times[0] + s, times[1] - s, times[1] + 3*s, times[1] + 40*s} {
 								for _, renews := range []time.Duration{0, 50 * ms, 150 * ms, 350 * ms, s} {
 									for _, again := range []time.Duration{0, 300 * ms, 3 * s} {
@@ -695,6 +759,7 @@
 func (g gap) sound() bool {
 	room := g.cancel - g.lease
 	return (g.refused <= 5*time.Second && !g.has("apart") || g.refused >= 0 && g.has("apart")) && g.refused < max(room-9*time.Second, time.Second) && (room > 15*time.Second || !g.has("apart")) &&
+		(g.outage <= 5*time.Second || g.has("blind")) && (!g.has("blind") || g.refused >= 0 && g.renews == 0 && g.again == 0) &&
 		(g.renews == 0 || g.refused >= 0 && g.renews < g.outage) &&
 		(g.lasts > 0 || g.has("loose") && g.again == 0 && g.refused < 0)
 }
@@ -717,6 +782,8 @@
 		{5, 20 * s, 45 * s, "", 200, 2 * s, s, 48 * s, 0, 0, "slow"},
 		{3, 20 * s, 45 * s, "", 200, -50 * ms, s, 48 * s, 0, 0, "cloud"},
 		{3, 20 * s, 45 * s, "", 200, s, s, 48 * s, 0, 0, "passed"},
+		{3, 20 * s, 45 * s, "", 200, s, 12 * s, 48 * s, 0, 0, "blind"},
+		{3, 31 * s, 56 * s, "zone", 0, 0, 12 * s, 58 * s, 0, 0, "blind asked"},
 		{3, 20 * s, 45 * s, "", 0, s, s, 48 * s, 0, 0, "held"},
 		{3, 20 * s, 45 * s, "", 200, 12 * s, s, 48 * s, 0, 0, "apart"},
 		{3, 20 * s, 45 * s, "zone", 200, 6 * s, s, 48 * s, 0, 0, "apart slow"},
