--- /dev/null
+++ b/asked_sim_test.go
@@ -0,0 +1,477 @@
+package amberdeal
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/httpwire"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// reach asks one controller something, as users do.
+func (w *world) reach(i int, method, path string, body []byte) (*httpwire.Response, error) {
+	caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.4").Dial}
+	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+	defer cancel()
+	return caller.Call(ctx, standin.Address(w.ip(i), 8080), method, path, body)
+}
+
+// market is the users of a day on which much is asked, and what became of it.
+type market struct {
+	*world
+	seed    uint64
+	closing atomic.Bool // whoever has not cancelled yet, and must, does so now
+
+	answers, vain, told, repeats, overtaken atomic.Int64
+}
+
+// customer is a user who asks about one job at all controllers, repeats its submission with
+// whatever body, and may cancel it.
+type customer struct {
+	*market
+	job   *wire.Job
+	luck  *rand.Rand  // of its own: others draw at the same moment
+	asked atomic.Bool // to cancel it
+}
+
+// comes has a user come with a job.
+func (m *market) comes(j *wire.Job, run time.Duration) *customer {
+	m.check.Submitted(j, run)
+	var n uint64
+	_, _ = fmt.Sscanf(j.ID, "wk-%d", &n)
+	return &customer{market: m, job: j, luck: rand.New(rand.NewPCG(m.seed, n))}
+}
+
+// replica has a user come with a service of one replica, and submit it.
+func (m *market) replica(id string) *customer {
+	c := m.comes(&wire.Job{ID: id, Class: "c", Team: "blue", Shape: wire.Service, Priority: wire.Production, Tasks: 1, CPUs: 2, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 1}, 24*time.Hour)
+	for try := 0; m.check.Stage(id) == "" && try < 10; try++ {
+		c.ask(try%m.count, "POST", wire.PathJobs, wire.Encode(c.job))
+	}
+	m.follow(id)
+	return c
+}
+
+// end cancels a job at one controller that can.
+func (c *customer) end(i int) {
+	c.asked.Store(true)
+	for try := 0; try < 5 && !c.check.Stage(c.job.ID).Final(); try++ {
+		c.ask(i, "POST", wire.PathJobs+"/"+c.job.ID+"/"+wire.CancelWord, []byte{})
+	}
+	if c.told.Add(1); c.check.Stage(c.job.ID) != wire.Cancelled {
+		c.t.Errorf("%s can't be cancelled at %d", c.job.ID, i)
+	}
+}
+
+// ask asks one controller, and has the answer judged. One that is no end and was on its way while
+// another told the end may have left before that.
+func (c *customer) ask(i int, method, path string, body []byte) int {
+	before := c.check.Stage(c.job.ID)
+	resp, err := c.reach(i, method, path, body)
+	if err != nil || resp.Status == 429 || resp.Status >= 500 {
+		c.vain.Add(1)
+		return 0
+	}
+	var s wire.JobStatus
+	_ = wire.Decode(resp.Body, &s)
+	c.answers.Add(1)
+	switch now := c.check.Stage(c.job.ID); {
+	case before == "" && resp.Status >= 400, !before.Final() && now.Final() && !s.Stage.Final():
+		c.overtaken.Add(1)
+		return resp.Status
+	}
+	c.check.Told(c.job.ID, resp.Status, s.Stage, c.asked.Load())
+	if resp.Status >= 400 {
+		c.t.Errorf("%s, which was %s, is answered %d at %d", c.job.ID, before, resp.Status, i)
+	}
+	return resp.Status
+}
+
+// body gives the submission again, as it was or another of the same name.
+func (c *customer) body() []byte {
+	other := *c.job
+	switch c.draw(c.luck, 6) {
+	case 0:
+		other.Tasks, other.Team, other.CPUs = 90, "nobody", 1000
+	case 1:
+		other.Image = strings.Repeat("large", 3000)
+	case 2:
+		other.Shape = "none"
+	}
+	return wire.Encode(&other)
+}
+
+func (c *customer) question(i int) { c.ask(i, "GET", wire.PathJobs+"/"+c.job.ID, nil) }
+
+func (c *customer) repeat(i int) {
+	c.repeats.Add(1)
+	c.ask(i, "POST", wire.PathJobs, c.body())
+}
+
+// cancel asks for it at one controller, and, once told, at once at all others for all that can be asked.
+func (c *customer) cancel() {
+	c.asked.Store(true)
+	i := c.draw(c.luck, c.count)
+	if c.ask(i, "POST", wire.PathJobs+"/"+c.job.ID+"/"+wire.CancelWord, []byte{}) != 200 {
+		return
+	}
+	c.told.Add(1)
+	var all sync.WaitGroup
+	for k := range c.count {
+		all.Go(func() {
+			if c.repeat(k); c.draw(c.luck, 2) == 0 {
+				c.question(k)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// live is what the customer does from its first submission until its job is over, cancels not
+// after which time it cancels if that is not 0.
+func (c *customer) live(cancels time.Duration) {
+	for c.ctx.Err() == nil && c.check.Stage(c.job.ID) == "" {
+		c.ask(c.draw(c.luck, c.count), "POST", wire.PathJobs, wire.Encode(c.job))
+		time.Sleep(time.Duration(c.draw(c.luck, 500)) * time.Millisecond)
+	}
+	c.follow(c.job.ID)
+	for begun := time.Now(); c.ctx.Err() == nil; {
+		over := c.check.Stage(c.job.ID).Final()
+		if c.closing.Load() && over {
+			return
+		}
+		time.Sleep(time.Duration(200+c.draw(c.luck, 3000)) * time.Millisecond)
+		i := c.draw(c.luck, c.count)
+		switch must := cancels > 0 && (time.Since(begun) > cancels || c.closing.Load()); {
+		case must && !over:
+			c.cancel()
+		case c.draw(c.luck, 3) == 0:
+			c.repeat(i)
+		default:
+			c.question(i)
+		}
+	}
+}
+
+// open has users come, one every gap.
+func (w *world) open(seed uint64, n int, gap time.Duration) *market {
+	m := &market{world: w, seed: seed}
+	w.group.Go(func() {
+		luck := rand.New(rand.NewPCG(seed, 12))
+		for k := range n {
+			j := &wire.Job{ID: fmt.Sprintf("wk-%06d", 1000*k+luck.IntN(1000)), Class: "c", Team: []string{"red", "blue"}[k%2], Priority: wire.Normal, Shape: wire.Array,
+				Tasks: 1 + luck.IntN(3), CPUs: 2, GPUs: 1, MemoryGB: 8, Image: fmt.Sprintf("img-%d", k%2), ImageGB: 1, EstimateS: 10}
+			run, cancels := time.Duration(5+luck.IntN(60))*time.Second, time.Duration(0)
+			switch k % 4 {
+			case 1:
+				cancels = time.Duration(1+luck.IntN(3000)) * time.Millisecond // before it has begun
+			case 2:
+				cancels = time.Duration(10+luck.IntN(100)) * time.Second
+			case 3:
+				j.Shape, j.Priority, run, cancels = wire.Service, wire.Production, 24*time.Hour, time.Duration(20+luck.IntN(150))*time.Second
+			}
+			c := m.comes(j, run)
+			w.group.Go(func() { c.live(cancels) })
+			time.Sleep(time.Duration(luck.IntN(int(2*gap/time.Millisecond))) * time.Millisecond)
+		}
+	})
+	// Nobody has ever submitted these.
+	w.asking.Go(func() {
+		for k := 0; w.ctx.Err() == nil; k++ {
+			id := fmt.Sprintf("wk-9%05d", k)
+			for _, path := range []string{"/" + id, "/" + id + "/" + wire.CancelWord} {
+				method := map[bool]string{true: "GET", false: "POST"}[path == "/"+id]
+				if resp, err := w.reach(k%w.count, method, wire.PathJobs+path, nil); err == nil && resp.Status != 404 && resp.Status != 503 {
+					w.t.Errorf("%s, which nobody has submitted, is answered %d", id, resp.Status)
+				}
+			}
+			time.Sleep(3 * time.Second)
+		}
+	})
+	return m
+}
+
+// close has all that is asked for come to its end, and judges the day.
+func (m *market) close(cancels, repeats int64) {
+	m.t.Helper()
+	m.calm()
+	m.closing.Store(true)
+	m.finish(15 * time.Minute)
+	m.judge()
+	if m.told.Load() < cancels || m.repeats.Load() < repeats {
+		m.t.Errorf("%d were told that their jobs are cancelled, %d submissions came again", m.told.Load(), m.repeats.Load())
+	}
+	if m.check.Started == 0 {
+		m.t.Error("no task was started")
+	}
+}
+
+// holderOf tells who holds the fleet by the state service, -1 for nobody.
+func (w *world) holderOf() int {
+	for _, name := range w.holders() {
+		return int(name[2] - '0')
+	}
+	return -1
+}
+
+// ownStore gives each controller an address of the state service of its own, so that one alone can
+// be refused.
+func ownStore(c *config.Config) { c.StoreAddr = standin.Address("10.2.0.1", 2400+int(c.Name[2]-'0')) }
+
+func (w *world) serveEach() {
+	for i := range w.count {
+		go w.net.Host("10.2.0.1").Listen(w.ctx, standin.Address("10.2.0.1", 2400+i), 0, w.store.ServeTo(fmt.Sprint("c-", i)))
+	}
+}
+
+// apart loses all between some controllers on one side and the state service and the other controllers,
+// also on the connections that are open. Machines and users still reach them.
+func (w *world) apart(on bool, cut ...int) {
+	others := []string{"10.2.0.1"}
+	for k := range w.count {
+		if !slices.Contains(cut, k) {
+			others = append(others, w.ip(k))
+		}
+	}
+	for _, i := range cut {
+		for _, other := range others {
+			w.net.Lose(w.ip(i), other, on)
+			w.net.Lose(other, w.ip(i), on)
+		}
+	}
+}
+
+// TestRefusedAloneThenAll: the state service answers slowly, refuses the leader alone, and then
+// everybody for longer than cancel_s, while users cancel, ask and submit again at all controllers.
+// What was told holds: a final stage is told from memory for ever, all else is read behind a barrier
+// or answered 503. AMBERDEAL_REFUSALS sets how many days, AMBERDEAL_REFUSAL plays one.
+func TestRefusedAloneThenAll(t *testing.T) {
+	stallDays(t, 2, "AMBERDEAL_REFUSAL", func(t *testing.T, seed uint64) {
+		w := newWorldOf(t, []int{3, 5}[seed%2], seed, 0, ownStore)
+		w.serveEach()
+		luck := rand.New(rand.NewPCG(seed, 13))
+		time.Sleep(8 * time.Second)
+		m := w.open(seed, 16, 6*time.Second)
+		first, second, last := m.replica("wk-1"), m.replica("wk-2"), m.replica("wk-3")
+		time.Sleep(time.Duration(30+luck.IntN(10)) * time.Second)
+		slow := time.Duration(luck.IntN(1200)) * time.Millisecond
+		w.store.Stage(func(s *standin.Store) { s.Delay = func() time.Duration { return slow } })
+		time.Sleep(time.Duration(luck.IntN(5000)) * time.Millisecond)
+		leader := w.holderOf()
+		other := (leader + 1) % w.count
+		if leader < 0 || w.check.Running("wk-1")+w.check.Running("wk-2")+w.check.Running("wk-3") != 3 {
+			t.Errorf("%d leads, and not all run that are to be cancelled", leader)
+		}
+		w.store.Refuse(fmt.Sprint("c-", max(0, leader)), true)
+		time.Sleep(time.Duration(luck.IntN(3000)) * time.Millisecond)
+		first.end(other)
+		time.Sleep(time.Duration(luck.IntN(20)) * time.Second)
+		second.end(other)
+		time.Sleep(time.Duration(luck.IntN(10)) * time.Second)
+		last.end(other)
+		time.Sleep(time.Duration(luck.IntN(300)) * time.Millisecond)
+		w.store.Outage(true)
+		time.Sleep(slow + 100*time.Millisecond)
+		told, vain := m.told.Load(), m.vain.Load()
+		time.Sleep(w.check.Cancel + time.Duration(5+luck.IntN(20))*time.Second)
+		if m.told.Load() > told || m.vain.Load() < vain+20 {
+			t.Errorf("%d cancellations were told in the outage, in which %d questions were not answered", m.told.Load()-told, m.vain.Load()-vain)
+		}
+		if luck.IntN(2) == 0 { // the leader is served again only after the others
+			time.AfterFunc(20*time.Second, func() { w.store.Refuse(fmt.Sprint("c-", max(0, leader)), false) })
+		} else {
+			w.store.Refuse(fmt.Sprint("c-", max(0, leader)), false)
+		}
+		w.store.Outage(false)
+		w.store.Stage(func(s *standin.Store) { s.Delay = nil })
+		time.Sleep(time.Minute)
+		m.close(6, 40)
+	})
+}
+
+// TestCutLeaderTurnsUsersAway: a leader is cut from the state service and from the other controllers
+// while users and machines still reach it, and jobs are cancelled through the others. It tells what is final
+// from memory, and turns all else away: at once, with when to come back, and so that the user comes to
+// another. It calls itself ready no more as soon as it can know, and is so again soon after the cut.
+func TestCutLeaderTurnsUsersAway(t *testing.T) {
+	for _, cut := range []struct{ of, also int }{{3, 0}, {5, 0}, {5, 2}} { // the leader, and the one so many after it
+		count := cut.of
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorldOf(t, count, 61, 0, nil)
+				time.Sleep(8 * time.Second)
+				m := w.open(61, 16, 2*time.Second)
+				early, late, stays := m.replica("wk-1"), m.replica("wk-2"), m.replica("wk-3")
+				time.Sleep(30 * time.Second)
+				leader := w.holderOf()
+				early.end(leader)
+				cutOff := []int{leader}
+				if cut.also > 0 {
+					cutOff = append(cutOff, (leader+cut.also)%count)
+				}
+				w.apart(true, cutOff...)
+				since := time.Now()
+				var unready time.Duration
+				for time.Since(since) < 2*time.Minute {
+					resp, err := w.reach(leader, "GET", wire.PathReady, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if resp.Status == 200 && unready > 0 {
+						t.Errorf("it is ready %v after the cut", time.Since(since))
+					} else if resp.Status != 200 && unready == 0 {
+						unready = time.Since(since)
+					}
+					if time.Since(since) > 20*time.Second && !w.check.Stage("wk-2").Final() {
+						late.end((leader + 1) % count)
+					}
+					early.question(leader) // judged: it is final
+					for _, ask := range []struct {
+						method, path string
+						body         []byte
+					}{
+						{"POST", "", wire.Encode(map[string]string{"uid": "wk-3"})}, // which is malformed
+						{"GET", "/wk-3", nil}, {"GET", "/wk-2", nil}, {"GET", "/wk-8", nil}, {"POST", "/wk-3/" + wire.CancelWord, []byte{}}, {"POST", "", stays.body()},
+					} {
+						if strings.HasSuffix(ask.path, wire.CancelWord) && unready == 0 {
+							continue // or it may be written
+						}
+						begun := time.Now()
+						resp, err := w.reach(leader, ask.method, wire.PathJobs+ask.path, ask.body)
+						took := time.Since(begun)
+						switch {
+						case err != nil || resp.Status != 503 || resp.RetryAfter == 0:
+							t.Errorf("%s %s is answered %+v, %v, %v after the cut", ask.method, ask.path, resp, err, time.Since(since))
+						case took > 2*time.Second, unready > 0 && !resp.Close, time.Since(since) > 7*time.Second && took > 50*time.Millisecond:
+							t.Errorf("%s %s is answered after %v, closing: %v, %v after the cut", ask.method, ask.path, took, resp.Close, time.Since(since))
+						}
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				if unready == 0 || unready > 7*time.Second {
+					t.Errorf("it is not ready from %v after the cut on", unready)
+				}
+				if holder := w.holderOf(); holder == leader || w.check.Stage("wk-2") != wire.Cancelled {
+					t.Errorf("%d leads after %d, and wk-2 is %s", holder, leader, w.check.Stage("wk-2"))
+				}
+				w.apart(false, cutOff...)
+				over := time.Now()
+				for {
+					if resp, err := w.reach(leader, "GET", wire.PathReady, nil); err == nil && resp.Status == 200 {
+						break
+					}
+					if time.Sleep(100 * time.Millisecond); time.Since(over) > 10*time.Second {
+						t.Error("it is not ready 10 s after the cut")
+						break
+					}
+				}
+				for i := range count {
+					late.question(i)
+					late.repeat(i)
+					stays.question(i)
+				}
+				stays.end(leader)
+				m.close(3, 20)
+			})
+		})
+	}
+}
+
+// asks are troubles beside those of returns: a controller is refused or cut off for a while.
+var asks = []trouble{
+	{"the leader is refused", func(w *world, _ *rand.Rand, d time.Duration) {
+		name := fmt.Sprint("c-", max(0, w.holderOf()))
+		lasting(d, func(on bool) { w.store.Refuse(name, on) })
+	}},
+	{"the leader is cut from the state service and from the others", func(w *world, _ *rand.Rand, d time.Duration) {
+		leader := max(0, w.holderOf())
+		lasting(d, func(on bool) { w.apart(on, leader) })
+	}},
+	{"the leader is cut off, and the next one crashes", func(w *world, luck *rand.Rand, d time.Duration) {
+		leader := max(0, w.holderOf())
+		lasting(d, func(on bool) { w.apart(on, leader) })
+		for try := 0; try < 40 && (w.holderOf() == leader || w.holderOf() < 0); try++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		if next := w.holderOf(); next >= 0 && next != leader {
+			w.crash(next, soon(luck), held(luck))
+		}
+	}},
+	{"the leader is cut off, and all others crash", func(w *world, luck *rand.Rand, d time.Duration) {
+		leader := max(0, w.holderOf())
+		lasting(d, func(on bool) { w.apart(on, leader) })
+		for i := range w.count {
+			if i != leader {
+				w.crash(i, soon(luck), 0)
+			}
+		}
+	}},
+	{"all end, and one returns", func(w *world, luck *rand.Rand, d time.Duration) {
+		first := luck.IntN(w.count)
+		for i := range w.count {
+			if i != first {
+				w.kill(i, min(d, 20*time.Second))
+			}
+		}
+		w.crash(first, soon(luck), held(luck))
+	}},
+	{"the leader's other process is cut off", func(w *world, luck *rand.Rand, d time.Duration) {
+		leader := max(0, w.holderOf())
+		w.twin(leader, min(d, 20*time.Second), held(luck))
+		lasting(min(d, 25*time.Second), func(on bool) { w.apart(on, leader) })
+	}},
+	{"the state service is slow, and takes some transactions late", func(w *world, luck *rand.Rand, d time.Duration) {
+		slow := time.Duration(luck.IntN(1500)) * time.Millisecond
+		lasting(d, func(on bool) {
+			w.store.Stage(func(s *standin.Store) {
+				if s.Delay, s.Lossy = nil, 0; on {
+					s.Delay, s.Lossy = func() time.Duration { return slow }, 0.2
+				}
+			})
+		})
+	}},
+	{"the state service is out", func(w *world, _ *rand.Rand, d time.Duration) { lasting(d, w.store.Outage) }},
+}
+
+// TestAskedThroughReturns plays days on which controllers hand over and back, all end and one returns,
+// also at once, and two processes of one name run, while the leader is refused or cut off and users cancel, ask and
+// submit again at all of them. AMBERDEAL_ASKEDS sets how many, AMBERDEAL_ASKED plays one.
+func TestAskedThroughReturns(t *testing.T) {
+	stallDays(t, 4, "AMBERDEAL_ASKED", func(t *testing.T, seed uint64) {
+		w := newWorldOf(t, []int{3, 5}[seed%2], seed, 0, ownStore)
+		w.serveEach()
+		luck := rand.New(rand.NewPCG(seed, 13))
+		time.Sleep(5 * time.Second)
+		m := w.open(seed, 16, 7*time.Second)
+		terms := w.term()
+		for k := range 10 {
+			from := asks
+			if k%2 == 1 {
+				from = returns
+			}
+			x, d := from[luck.IntN(len(from))], time.Duration(1+luck.IntN(60))*time.Second
+			if os.Getenv("SIM_LOG") != "" {
+				fmt.Fprintln(os.Stderr, time.Now(), x.name, d)
+			}
+			x.cast(w, luck, d)
+			time.Sleep(time.Duration(luck.IntN(12000)) * time.Millisecond)
+		}
+		time.Sleep(time.Minute) // the last of them is over
+		if w.term() <= terms {
+			t.Errorf("the fleet changed hands %d times", w.term()-terms)
+		}
+		m.close(5, 60)
+	})
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,6 +84,7 @@
 	c.history = history.NewReader(c.client, cfg.Tuning.History.CacheMB<<20/cfg.Store.ValueBytes, log)
 	c.view.Blocks = c.history
 	c.follow = store.NewFollower(c.client, c.view, log)
+	c.follow.Watch = store.WatchFor(cfg.Workers.Linger())
 	c.cloud = cloud.New(network, cfg.CloudAddr, cfg.Cloud.RPS*0.85)
 	c.workers = worker.NewClient(network, cfg.Limits.Files/16)
 	c.keeper = &claim.Keeper{
@@ -105,7 +106,7 @@
 		Closer: door.NewCloser(c.client, c.view, c.follow, cfg.Store.TxnOps),
 		Types:  c.machineTypes, Open: c.open, Route: c.route, Backlog: cfg.Tuning.History.Backlog, Accepted: c.wake}
 	c.door.Intake.First = cfg.Tiers().First
-	c.desk = &user.Desk{Door: c.door, Log: log, Count: c.count, Ready: c.ready}
+	c.desk = &user.Desk{Door: c.door, Log: log, Count: c.count, Ready: c.ready, Vain: c.vain}
 	return c
 }
 
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -91,16 +91,31 @@
 	if open, _ := c.format.Open(); !open && c.view.Loaded() {
 		return false
 	}
+	return !c.apart(2 * time.Second)
+}
+
+// vain reports whether questions that the store must answer are not even worth a try. A store
+// that is slow, or refuses a call now and then, is still of use.
+func (c *Controller) vain() bool { return c.apart(5 * time.Second) }
+
+// apart reports whether the store has been out of reach here for so long while others may reach
+// it. Whoever hears less than most controllers can't know that all share its outage, and is rather
+// cut off itself: as long as it called itself ready, its users stayed and asked in vain.
+func (c *Controller) apart(quiet time.Duration) bool {
 	at, failing := c.follow.Reached()
-	if c.view.Loaded() && (!failing || time.Since(at) < 2*time.Second) {
-		return true
+	if c.view.Loaded() && (!failing || time.Since(at) < quiet) {
+		return false
 	}
-	for _, b := range c.mesh.Last(3 * time.Second) {
+	beats := c.mesh.Last(3 * time.Second)
+	for _, b := range beats {
 		if b.StoreOK {
-			return false
+			return true
 		}
 	}
-	return time.Since(c.begun) > loadTime
+	if alone := (len(beats)+1)*2 <= len(c.cfg.Siblings)+1; alone {
+		return true
+	}
+	return time.Since(c.begun) <= loadTime
 }
 
 // measure gathers what the metrics tell.
@@ -115,6 +130,8 @@
 	for _, h := range c.holding() { // not under our lock: a holder that decides keeps its own for long
 		r.Parts++
 		r.Term = max(r.Term, h.Term())
+		odd := h.Odd()
+		r.Late, r.Impossible = r.Late+odd.Late, r.Impossible+odd.Impossible
 		if r.Zones == nil {
 			r.Zones = make(map[string]zone.Record)
 		}
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -4,6 +4,7 @@
 package round
 
 import (
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -74,6 +75,7 @@
 	stood        time.Time
 	outlook      outlook
 	given        map[string]handed // tasks that were lately given to other parts
+	names        names             // what the own ledger names
 	grants       grants
 	said         uint64 // up to which revision the ledger says that nothing is left of ended jobs
 	number       uint64 // of the grouping
@@ -111,6 +113,7 @@
 	roused       map[string]time.Time // zones of which a machine was heard again, and when
 	newTypes     bool
 	claims       claims
+	odd          Odd
 	counts       map[string]Count
 	counted      time.Time
 }
@@ -130,16 +133,9 @@
 		overdue: c.Workers.Report * 7 / 5, silence: c.Silence()}
 }
 
-// Linger bounds how long after its last confirmed renewal a holder answers
-// reports: tasks live through an outage of the store, but a holder that is cut
-// off must not keep a cancelled task alive for longer than is allowed.
-func Linger(c *config.Config) time.Duration {
-	return max(0, c.Workers.Cancel-c.Workers.Lease-5*time.Second)
-}
-
 // answers bounds how long after its last confirmed renewal a holder answers at all. Siblings
 // may end its lease at any time after that renewal, so that a claim may follow at once.
-func answers(c *config.Config) time.Duration { return max(Linger(c), c.Tuning.Lease) }
+func answers(c *config.Config) time.Duration { return max(c.Workers.Linger(), c.Tuning.Lease) }
 
 // New gives the holder of a claim, from a snapshot and the part's ledgers, which are not
 // older.
@@ -241,22 +237,18 @@
 	}
 }
 
-// Entitled reports whether a report may be answered: while the claim surely lasts or for
+// Entitled reports whether reports may be answered: while the claim surely lasts or for
 // a while after its last renewal, and for a while after the last time that this holder
-// surely knew of every cancellation. Each answer lets a worker's tasks live for another
-// lease, also those of a job of which a holder that stands still, or whose view does,
-// does not know that it was cancelled.
+// surely knew of every cancellation. A renewal says nothing of what is known: each answer
+// lets a worker's tasks live for another lease, also those of a job of which a holder that
+// is refused by the store, or whose view stands still, does not know that it was cancelled.
 func (h *Holder) Entitled(now time.Time, valid bool, confirmed time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	linger := Linger(h.cfg)
-	return (valid || now.Sub(confirmed) < linger) && now.Sub(h.knows) < max(linger, leastKnows)
+	linger := h.cfg.Workers.Linger()
+	return (valid || now.Sub(confirmed) < linger) && now.Sub(h.knows) < linger
 }
 
-// leastKnows is how old what a holder knows of cancellations may be where they leave no
-// time for it beside a worker's lease: a watch of the store lasts a few seconds.
-const leastKnows = 8 * time.Second
-
 func (h *Holder) history(job string) *history {
 	j := h.jobs[job]
 	if j == nil {
@@ -273,29 +265,69 @@
 	h.types, h.newTypes = t, true
 }
 
-// Report takes in a worker's report and gives the answer to it. launch says
-// whether the claim surely lasts.
-func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) wire.Answer {
+// Report takes in a worker's report and gives the answer to it; ok is false where there
+// must be none. launch says whether the claim surely lasts.
+func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) (a wire.Answer, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hear(now, r.Machine)
-	h.heardIn(now, r)
-	events := h.fleet.Observe(now, r, true)
-	h.take(now, events)
+	if !h.observe(now, r, true) || h.fleet.Lapses(now, r.Machine) {
+		return a, false
+	}
 	cmds := h.fleet.Answer(now, r, launch)
 	for _, c := range cmds {
 		h.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", r.Machine)
 	}
-	return wire.Answer{Term: h.held.Term, Commands: cmds}
+	return wire.Answer{Term: h.held.Term, Commands: cmds}, true
 }
 
 // Inspected takes in a report that came as the body of a direct call.
 func (h *Holder) Inspected(now time.Time, r *wire.Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.observe(now, r, false)
+}
+
+// observe takes in a report, whichever way it came. One that is older than what is known
+// shows nothing, and one that can't be is not even answered: what made it up may make up more.
+func (h *Holder) observe(now time.Time, r *wire.Report, own bool) (ok bool) {
+	if why := h.impossible(r); why != "" {
+		h.odd.Impossible++
+		h.log.Warn("impossible report", "machine", r.Machine, "session", r.Session, "number", r.Seq, "why", why)
+		return false
+	}
+	if h.fleet.Late(r) {
+		h.odd.Late++
+		return true
+	}
 	h.hear(now, r.Machine)
 	h.heardIn(now, r)
-	h.take(now, h.fleet.Observe(now, r, false))
+	h.take(now, h.fleet.Observe(now, r, own))
+	return true
+}
+
+// impossible says what a report can't say, or nothing. Attempts are of terms up to this one;
+// where the fleet is in parts, the holder of another may have given a gang's.
+func (h *Holder) impossible(r *wire.Report) string {
+	if r.Term > h.held.Term {
+		return fmt.Sprintf("term %d, which nobody has claimed below this one", r.Term)
+	}
+	for _, t := range r.Tasks {
+		term, n := t.Attempt>>24, t.Attempt&(1<<24-1)
+		if h.group.Whole() && term > h.held.Term || term == h.held.Term && n > h.sequence {
+			return fmt.Sprintf("task %s of attempt %d, which was never given", t.ID, t.Attempt)
+		}
+	}
+	return ""
+}
+
+// Odd counts reports that changed nothing.
+type Odd struct{ Late, Impossible uint64 }
+
+// Odd tells how many reports changed nothing.
+func (h *Holder) Odd() Odd {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.odd
 }
 
 // take deals with what reports and proofs have shown.
@@ -309,6 +341,11 @@
 		} else if p.State == fleet.Running {
 			h.log.Debug("task running", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "after", now.Sub(p.Placed))
 		}
+		// What a report shows for the first time, of a job that is known to be over, is
+		// stopped by the answer to that report, which may be the last one for long.
+		if m := h.fleet.Machine(p.Machine); m != nil && !e.Gone && p.Active() && p.Stop == nil && h.live[p.Task.Job] == nil {
+			h.over(now, m, p)
+		}
 	}
 	if len(events) > 0 || !h.rebuilt {
 		h.Kick()
@@ -348,9 +385,13 @@
 // finish marks a task as done; the tasks of a gang complete together.
 func (h *Holder) finish(t wire.TaskID, j *history) {
 	j.finished.Set(t.Index)
-	if l := h.live[t.Job]; l != nil && l.Record.Job.Shape == wire.Gang {
+	l := h.live[t.Job]
+	gang := l != nil && l.Record.Job.Shape == wire.Gang
+	h.spare(t, gang)
+	if gang {
 		for i := range l.Record.Tasks {
 			j.finished.Set(i)
+			h.spare(wire.TaskID{Job: t.Job, Index: i}, true)
 		}
 	}
 	h.fresh[t.Job] = true
