--- /dev/null
+++ b/deaf_sim_test.go
@@ -0,0 +1,329 @@
+package amberdeal
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Days on which machines hear nothing, direct calls are held up and old reports come after
+// newer ones, while the leader changes.
+
+// machines says how often the machines that come up from now on report, and how late they
+// get direct calls.
+func (w *world) machines(report time.Duration, late func() time.Duration) {
+	names := map[string]string{}
+	for i := range w.count {
+		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
+	}
+	yard := standin.NewYard(w.check, 20*time.Second, 3*time.Second)
+	w.cloud.Fail(func(*standin.CloudFaults) {
+		w.cloud.Start = func(id, addr, typ, zone string, spot bool) standin.Machine {
+			host := standin.HostOf(addr)
+			w.net.Place(host, zone)
+			return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(host),
+				Down: func() { w.net.Down(host, true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: report, Late: late, Echo: w.echo})
+		}
+	})
+}
+
+// workers gives the machines that are up.
+func (w *world) workers() (out []*standin.Worker) {
+	w.cloud.Each(func(_ wire.ListedMachine, m standin.Machine) { out = append(out, m.(*standin.Worker)) })
+	return out
+}
+
+// deaf has machines hear nothing for a while, and gives them.
+func deaf(d time.Duration, machines ...*standin.Worker) []*standin.Worker {
+	for _, m := range machines {
+		lasting(d, m.Deaf)
+	}
+	return machines
+}
+
+// leader is the controller that holds the fleet, -1 for none.
+func (w *world) leader() int {
+	for _, name := range w.holders() {
+		return int(name[2] - '0')
+	}
+	return -1
+}
+
+// ask makes one request as a user, and tells the checker what came of it.
+func (w *world) ask(method, job, path string, body []byte) int {
+	for try := 0; try < 30; try++ {
+		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+		caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.1").Dial}
+		resp, err := caller.Call(ctx, standin.Address(w.ip(try%w.count), 8080), method, path, body)
+		cancel()
+		if err == nil && resp.Status != 503 {
+			var s wire.JobStatus
+			_ = wire.Decode(resp.Body, &s)
+			w.check.Told(job, resp.Status, s.Stage, true)
+			return resp.Status
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0
+}
+
+// broken reports what the checker has seen.
+func (w *world) broken(t *testing.T) {
+	t.Helper()
+	for _, b := range append(w.check.Broken(), w.account().Problems...) {
+		t.Error(b)
+	}
+}
+
+// TestCancelledLaunchHeldUp: a launch goes straight to a machine and is held up, its job is
+// cancelled before the machine's next report, and the machine can't be returned, for the cloud
+// is in trouble, or the state service is out so that no claim surely lasts. The launch comes
+// when the job's tasks must long be gone: the machine was not answered any more, and is in
+// another session by then.
+func TestCancelledLaunchHeldUp(t *testing.T) {
+	for n, x := range []struct {
+		name string
+		cast func(w *world)
+	}{
+		{"the cloud is in trouble", func(w *world) {
+			lasting(2*time.Minute, func(on bool) { w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = on }) })
+		}},
+		{"the state service is out", func(w *world) {
+			time.AfterFunc(15*time.Second, func() { lasting(70*time.Second, w.store.Outage) })
+		}},
+		{"the cloud does not hear the leader", func(w *world) {
+			ip := w.ip(w.leader())
+			lasting(2*time.Minute, func(on bool) { w.net.Cut(ip, "10.2.0.2", on) })
+		}},
+	} {
+		for k, held := range []time.Duration{46 * time.Second, 50 * time.Second, 60 * time.Second} {
+			if os.Getenv("AMBERDEAL_DEAFS") == "" && k != n {
+				continue // the rest with the longer days
+			}
+			t.Run(fmt.Sprint(x.name, ", held ", held), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 31, 0, nil)
+					var hold atomic.Int64
+					sent, came := make(chan struct{}), make(chan struct{})
+					var once sync.Once
+					w.machines(2*time.Second, func() time.Duration {
+						d := time.Duration(hold.Load())
+						if d > 0 {
+							once.Do(func() {
+								close(sent)
+								time.AfterFunc(d, func() { close(came) })
+							})
+						}
+						return d
+					})
+					w.service("wk-1", 3*time.Minute)
+					time.Sleep(40 * time.Second) // it runs, and all machines were heard
+					hold.Store(int64(held))
+					j := &wire.Job{ID: "wk-2", Class: "c", Team: "blue", Shape: wire.Array, Priority: wire.Normal, Tasks: 1,
+						CPUs: 1, GPUs: 1, MemoryGB: 4, Image: "img", ImageGB: 1, EstimateS: 300}
+					w.check.Submitted(j, 5*time.Minute)
+					w.ask("POST", j.ID, wire.PathJobs, wire.Encode(j))
+					<-sent
+					if w.check.Running(j.ID) > 0 {
+						t.Error("the task runs already")
+					}
+					w.ask("POST", j.ID, wire.PathJobs+"/"+j.ID+"/"+wire.CancelWord, []byte{})
+					told := time.Now()
+					hold.Store(0)
+					x.cast(w)
+					<-came
+					if late := time.Since(told); late < 45*time.Second || w.check.Stage(j.ID) != wire.Cancelled {
+						t.Errorf("the launch came %v after the user was told that the job is %s", late, w.check.Stage(j.ID))
+					}
+					time.Sleep(2 * time.Minute)
+					w.finish(10 * time.Minute)
+					w.broken(t)
+				})
+			})
+		}
+	}
+}
+
+// deafDays are the offsets around the bounds that the proofs by time rest on: a report, what a
+// controller's lease lasts, a worker's, and all together.
+var deafDays = []time.Duration{3 * time.Second, 8 * time.Second, 19 * time.Second, 21 * time.Second, 26 * time.Second, 36 * time.Second, 75 * time.Second}
+
+// TestLeaderEndsWhileMachinesAreDeaf: the leader ends while some of the machines that have long
+// tasks - an array up to its team's limit, a gang in one zone, one over two, and a service that
+// is spread - hear nothing, for less or more than any lease. They are deaf from before the
+// change or from after it. Nothing starts twice, or where it must not.
+func TestLeaderEndsWhileMachinesAreDeaf(t *testing.T) {
+	for n, d := range deafDays {
+		for k, before := range []time.Duration{-3 * time.Second, 0, 5 * time.Second, 17 * time.Second} {
+			if os.Getenv("AMBERDEAL_DEAFS") == "" && k != (n+1)%4 {
+				continue // the rest with the longer days
+			}
+			t.Run(fmt.Sprint("for ", d, ", from ", before, " before"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					silence := []time.Duration{0, time.Hour}[n%2] // machines are released, or time alone proves
+					// A deaf machine gives an answer up after 4 s and tries elsewhere 1 s later: here that is
+					// no longer than between two reports, so that it is heard all the while.
+					const report = 6 * time.Second
+					w := newWorld(t, uint64(40+n), 0, func(c *config.Config) { c.Tuning.Silence, c.Workers.Report = silence, report })
+					w.machines(report, nil)
+					job := func(id, team string, shape wire.Shape, tasks int, run, until time.Duration, change func(*wire.Job)) {
+						j := &wire.Job{ID: id, Class: "c", Team: team, Shape: shape, Priority: wire.Normal, Tasks: tasks,
+							CPUs: 2, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 1, EstimateS: run.Seconds(), Spot: true}
+						if change != nil {
+							change(j)
+						}
+						w.user(j, run, until)
+					}
+					job("wk-1", "red", wire.Array, 9, 70*time.Second, 0, nil)
+					job("wk-2", "blue", wire.Gang, 4, 80*time.Second, 0, func(j *wire.Job) { j.OneZone, j.CheckpointS, j.SaveS = true, 10, 1 })
+					job("wk-3", "blue", wire.Gang, 4, 90*time.Second, 0, func(j *wire.Job) { j.Spread, j.CheckpointS, j.SaveS = true, 10, 1 })
+					job("wk-4", "blue", wire.Service, 6, 24*time.Hour, 4*time.Minute, func(j *wire.Job) { j.Spread, j.Priority = true, wire.Production })
+					job("wk-5", "blue", wire.Array, 3, 2*time.Minute, 50*time.Second, func(j *wire.Job) { j.OneZone = true })
+					time.Sleep(35 * time.Second)
+					running, _ := w.check.Counts()
+					var deafened []*standin.Worker
+					listen := func() {
+						for i, m := range w.workers() {
+							if i%2 == n%2 {
+								deafened = append(deafened, deaf(d, m)...)
+							}
+						}
+					}
+					if before >= 0 {
+						listen()
+						time.Sleep(before)
+					}
+					term, first := w.term(), w.leader()
+					w.kill(first, 20*time.Second)
+					if before < 0 {
+						time.Sleep(-before)
+						listen()
+					}
+					if before < d {
+						for w.term() == term {
+							time.Sleep(100 * time.Millisecond)
+						}
+					}
+					time.Sleep(d + 10*time.Second)
+					lost, up := 0, w.workers()
+					for _, m := range deafened {
+						if lost += m.Lost(); !slices.Contains(up, m) {
+							lost++ // it was given up
+						}
+					}
+					if running < 15 || len(deafened) < 2 || w.term() == term || d > workerLease+5*time.Second && lost == 0 {
+						t.Errorf("%d tasks ran, %d machines were deaf, %d lost what they had, term %d after %d", running, len(deafened), lost, w.term(), term)
+					}
+					w.finish(15 * time.Minute)
+					w.broken(t)
+				})
+			})
+		}
+	}
+}
+
+// meetings are what meets on the days of TestReportsMeet, beside what all such days have.
+var meetings = []trouble{
+	{"some machines are deaf", func(w *world, luck *rand.Rand, d time.Duration) {
+		for _, m := range w.workers() {
+			if luck.IntN(3) == 0 {
+				deaf(d, m)
+			}
+		}
+	}},
+	{"a machine is deaf while the leader ends", func(w *world, luck *rand.Rand, d time.Duration) {
+		if all := w.workers(); len(all) > 0 {
+			deaf(d, all[luck.IntN(len(all))])
+		}
+		if i := w.leader(); i >= 0 {
+			time.AfterFunc(time.Duration(luck.IntN(6000))*time.Millisecond, func() { w.kill(i, 3*time.Second) })
+		}
+	}},
+	{"the leader ends twice", func(w *world, luck *rand.Rand, _ time.Duration) {
+		for range 2 {
+			if i := w.leader(); i >= 0 {
+				w.kill(i, 3*time.Second)
+			}
+			time.Sleep(time.Duration(500+luck.IntN(5000)) * time.Millisecond)
+		}
+	}},
+	{"the leader loses the state service and its siblings", func(w *world, _ *rand.Rand, d time.Duration) {
+		if i := w.leader(); i >= 0 {
+			for k := range w.count {
+				if k != i {
+					lasting(d, func(on bool) { w.net.Cut(w.ip(i), w.ip(k), on) })
+				}
+			}
+			lasting(d, func(on bool) { w.net.Cut(w.ip(i), "10.2.0.1", on) })
+		}
+	}},
+	{"a machine hangs and goes on", func(w *world, luck *rand.Rand, _ time.Duration) {
+		if all := w.workers(); len(all) > 0 {
+			all[luck.IntN(len(all))].Hang(time.Duration(2+luck.IntN(24)) * time.Second)
+		}
+	}},
+	{"a machine is taken", func(w *world, luck *rand.Rand, _ time.Duration) { w.cloud.Take(luck.IntN(8)) }},
+	{"the cloud is in trouble", func(w *world, _ *rand.Rand, d time.Duration) {
+		lasting(d, func(on bool) { w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = on }) })
+	}},
+	{"many reports come again", func(w *world, luck *rand.Rand, d time.Duration) {
+		w.echo.Share(0.5)
+		time.AfterFunc(d, func() { w.echo.Share(0.1) })
+	}},
+}
+
+// TestReportsMeet plays days on which old reports come after newer ones, up to three leases
+// late, direct calls are held up, machines are deaf or hang, and leaders end or are cut.
+// AMBERDEAL_DEAFS sets how many days, AMBERDEAL_DEAF plays one.
+func TestReportsMeet(t *testing.T) {
+	stallDays(t, 4, "AMBERDEAL_DEAF", func(t *testing.T, seed uint64) {
+		luck := rand.New(rand.NewPCG(seed, 13))
+		keep := []int{0, 2, 200}[luck.IntN(3)]
+		silence := []time.Duration{0, time.Hour}[luck.IntN(2)]
+		by := []string{"off", "off", "zone"}[luck.IntN(3)]
+		w := newWorld(t, seed, 0.02*float64(luck.IntN(4)), func(c *config.Config) {
+			c.Tuning.KeepReports, c.Tuning.Silence, c.Tuning.Parts.By = keep, silence, by
+		})
+		w.echo.Share(0.1)
+		w.group.Add(1)
+		go func() {
+			defer w.group.Done()
+			w.submit(seed, 28)
+		}()
+		time.Sleep(10 * time.Second)
+		for range 14 {
+			x := meetings[luck.IntN(len(meetings))]
+			if luck.IntN(4) == 0 {
+				x = troubles[luck.IntN(len(troubles))]
+			}
+			d := time.Duration(1+luck.IntN(70)) * time.Second
+			if os.Getenv("SIM_LOG") != "" {
+				fmt.Fprintln(os.Stderr, time.Now(), x.name, d)
+			}
+			x.cast(w, luck, d)
+			time.Sleep(time.Duration(luck.IntN(12000)) * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		w.echo.Share(0)
+		if w.echo.Came() < 20 {
+			t.Errorf("%d reports came again", w.echo.Came())
+		}
+		w.finish(20 * time.Minute)
+		w.broken(t)
+		if w.check.Started == 0 {
+			t.Error("no task was started")
+		}
+	})
+}
