Fleet: a machine that reports and takes nothing is not launched on, and given up by a new holder

A deaf machine's reports are answered, so that it counted as fresh: what it had lost with its lease was placed there again and again for as long as it was deaf, and a new holder, which proved nothing of it while it answered it, went on as one that is still being rebuilt. Signs: a launch that was said in an answer does not show, a session ends within a lease of an answer, the new term is not taken. A call that is answered, a launch that shows, the term or time alone end it.

--- a/deaf_sim_test.go
+++ b/deaf_sim_test.go
@@ -327,3 +327,46 @@
 		}
 	})
 }
+
+// TestDeafMachineHoldsUpNobody: a machine with replicas hears nothing for minutes. Its reports go
+// on, so that it seems to live, with room for what it lost with its lease. It is told nothing
+// that would start there, and what it had runs elsewhere soon.
+func TestDeafMachineHoldsUpNobody(t *testing.T) {
+	for _, ends := range []bool{false, true} { // whether the leader does just then
+		t.Run(fmt.Sprint("the leader ends: ", ends), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const report = 6 * time.Second
+				w := newWorld(t, 33, 0, func(c *config.Config) { c.Workers.Report, c.Tuning.Idle = report, time.Hour })
+				w.machines(report, nil)
+				job := func(id string, shape wire.Shape, tasks int, gpus float64, run, until time.Duration) {
+					w.user(&wire.Job{ID: id, Class: "c", Team: "blue", Shape: shape, Priority: wire.Normal, Tasks: tasks,
+						CPUs: 2, GPUs: gpus, MemoryGB: 8, Image: "img", ImageGB: 1, EstimateS: run.Seconds()}, run, until)
+				}
+				job("wk-1", wire.Array, 6, 4, 20*time.Second, 0) // has six machines rented
+				time.Sleep(70 * time.Second)
+				job("wk-2", wire.Service, 4, 2, 24*time.Hour, 4*time.Minute)
+				time.Sleep(20 * time.Second)
+				all := w.workers()
+				deaf(3*time.Minute, all[0]) // which is one that they are on
+				before := w.check.Running("wk-2")
+				if ends {
+					w.kill(w.leader(), 3*time.Second)
+				}
+				time.Sleep(workerLease + 25*time.Second)
+				if n := w.check.Running("wk-2"); before != 4 || n != 4 || w.check.Stopped == 0 {
+					t.Errorf("%d of 4 replicas run, %d did before, %d were lost", n, before, w.check.Stopped)
+				}
+				begun := time.Now()
+				job("wk-3", wire.Gang, 8, 2, 20*time.Second, 0)
+				for w.check.Running("wk-3") < 8 && time.Since(begun) < time.Minute {
+					time.Sleep(time.Second)
+				}
+				if late := time.Since(begun); late > 30*time.Second {
+					t.Errorf("a gang has begun after %v", late)
+				}
+				w.finish(15 * time.Minute)
+				w.broken(t)
+			})
+		})
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,6 +125,8 @@
 	reportSeq   uint64       // of the newest report
 	launchSeq   uint64       // of the newest report of which the answer carried launches
 	met         bool         // something of the session has been heard
+	unheeded    int          // signs in a row that it takes nothing that it is told
+	unheededAt  time.Time    // when the first of them was seen, of this session
 	proven      bool         // holds nothing from before the term, though not seen at it
 	placements  []*Placement // in a fixed order; replaced, never changed in place
 }
@@ -145,6 +147,26 @@
 	delete(m.images, image)
 }
 
+// A machine may be deaf: its reports come, and what it is told is lost. After so many signs of
+// it in a row nothing is launched there.
+const deafSigns = 2
+
+// sign notes that what a machine was told was lost.
+func (m *Machine) sign(now time.Time) {
+	if m.unheeded++; m.unheeded == 1 {
+		m.unheededAt = now
+	}
+}
+
+// Heeds reports whether a machine takes what it is told, as far as is known. One that is in a
+// session for longer than that could last without an answer does.
+func (f *Fleet) Heeds(now time.Time, m *Machine) bool {
+	return m.unheeded < deafSigns || now.Sub(m.unheededAt) > f.over()+margin
+}
+
+// over is how long after its last answer a machine's lease has surely run out.
+func (f *Fleet) over() time.Duration { return time.Duration(float64(f.lease)*(1+drift)) + margin }
+
 // answered notes that the lease may count from as late as now.
 func (m *Machine) answered(now time.Time) {
 	if m.Answered.Before(now) {
@@ -393,6 +415,9 @@
 	}
 	var events []Event
 	if r.Session > m.Session {
+		if own && m.met && now.Sub(m.Answered) < f.lease { // it has not taken that answer
+			m.unheeded, m.unheededAt = deafSigns, now
+		}
 		for _, p := range m.Placements() {
 			// Proof 2: the worker has forgotten all tasks of earlier sessions,
 			// and executes nothing that was sent for one.
@@ -409,6 +434,12 @@
 		m.met = true
 		m.answered(now)
 	}
+	switch {
+	case !own:
+		m.unheeded = 0 // a call was answered
+	case r.Term < f.Term && m.reportSeq > 0:
+		m.sign(now) // nor taken the term from the answer to its last report
+	}
 	m.seq = r.Seq
 	m.Addr, m.Heard = r.Addr, now
 	if !m.Up {
@@ -418,7 +449,7 @@
 		m.Notice = now.Add(wire.Seconds(*r.NoticeS))
 	}
 	if r.Term == f.Term && !m.AtTerm {
-		m.AtTerm = true
+		m.AtTerm, m.unheeded = true, 0
 		m.answered(now) // an earlier holder's answer may have come until now
 	}
 	for _, t := range r.Tasks {
@@ -427,7 +458,7 @@
 		}
 	}
 	if m.AtTerm && r.Term >= f.Term {
-		events = f.missing(m, r, own, events)
+		events = f.missing(now, m, r, own, events)
 	}
 	if own {
 		m.reportSeq = r.Seq
@@ -436,7 +467,13 @@
 }
 
 // missing deals with what a report at the own term does not list.
-func (f *Fleet) missing(m *Machine, r *wire.Report, own bool, events []Event) []Event {
+func (f *Fleet) missing(now time.Time, m *Machine, r *wire.Report, own bool, events []Event) []Event {
+	lost := false
+	defer func() {
+		if lost {
+			m.sign(now)
+		}
+	}()
 	for _, p := range m.Placements() {
 		if p.State == Planned || slices.ContainsFunc(r.Tasks, func(t wire.ReportedTask) bool { return t.Attempt == p.Attempt && t.ID == p.Task }) {
 			continue
@@ -448,6 +485,7 @@
 			if !own {
 				continue
 			}
+			lost = lost || p.said
 			if p.State, p.said = Planned, false; p.Stop != nil && !p.loose {
 				f.remove(m, p)
 				events = append(events, Event{p, true})
@@ -469,6 +507,9 @@
 		p = &Placement{Task: t.ID, Attempt: t.Attempt, Machine: m.ID, Placed: now, Committed: true}
 		f.add(m, p)
 	}
+	if p.State == Sent {
+		m.unheeded = 0
+	}
 	state := Running // also for what this version does not know: it is there
 	switch t.State {
 	case wire.TaskFetching:
@@ -530,7 +571,7 @@
 		return cmds
 	}
 	// Of a report that has come again, nobody waits for the answer.
-	launch = launch && m.serves() && r.Seq > m.launchSeq
+	launch = launch && m.serves() && r.Seq > m.launchSeq && f.Heeds(now, m)
 	kept := 0
 	for _, p := range m.Placements() {
 		switch {
@@ -615,7 +656,7 @@
 // Expire applies the proofs that time gives, and returns what they show gone.
 func (f *Fleet) Expire(now time.Time) []Event {
 	var events []Event
-	over := time.Duration(float64(f.lease)*(1+drift)) + margin
+	over := f.over()
 	for _, m := range f.Machines() {
 		switch {
 		case m.AtTerm && now.Sub(m.Answered) > over:
--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -200,7 +200,7 @@
 // over is stopped or withdrawn, what is stored is settled.
 func (h *Holder) reconcile(now time.Time) {
 	for _, m := range h.fleet.Machines() {
-		if now.Sub(m.Heard) > h.times.fresh || m.Draining != "" || !m.Notice.IsZero() || m.Releasing {
+		if now.Sub(m.Heard) > h.times.fresh || !h.fleet.Heeds(now, m) || m.Draining != "" || !m.Notice.IsZero() || m.Releasing {
 			for _, p := range m.Placements() {
 				h.fleet.Withdraw(p) // planned where nothing is said any more
 			}
--- a/internal/round/raise.go
+++ b/internal/round/raise.go
@@ -25,10 +25,10 @@
 func (c called) underWay(now time.Time) bool { return c.open && now.Sub(c.at) < lostCall }
 
 // raiseDue reports whether a machine is to be called only to be heard: it has not been
-// seen at the term, or is overdue.
+// seen at the term, is overdue, or seems to be deaf.
 func (h *Holder) raiseDue(now time.Time, m *fleet.Machine) bool {
 	last := h.called[m.ID]
-	if m.Addr == "" || m.Releasing || last.underWay(now) || !(m.Up || m.Recorded) || m.AtTerm && h.quiet(now, m) < h.times.overdue {
+	if m.Addr == "" || m.Releasing || last.underWay(now) || !(m.Up || m.Recorded) || m.AtTerm && h.quiet(now, m) < h.times.overdue && h.fleet.Heeds(now, m) {
 		return false
 	}
 	return now.Sub(last.at) >= min(longRaise, raiseGap<<min(last.failures, 4))
@@ -170,10 +170,11 @@
 	return last.failures > 0 && last.at.After(m.Heard)
 }
 
-// tried keeps what became of a call, if the machine was heard: of others it says nothing.
+// tried keeps what became of a call, if the machine was heard: of others it says nothing. Nor
+// does one that is deaf say anything of the way to the rest.
 func (h *Holder) tried(now time.Time, machine string, ok bool) {
 	m := h.fleet.Machine(machine)
-	if m == nil || !ok && (m.Heard.IsZero() || h.quiet(now, m) > h.times.fresh) {
+	if m == nil || !ok && (m.Heard.IsZero() || h.quiet(now, m) > h.times.fresh || !h.fleet.Heeds(now, m)) {
 		return
 	}
 	if h.trials = append(h.trials, trial{now, ok}); len(h.trials) > trialMost {
--- a/internal/round/reach.go
+++ b/internal/round/reach.go
@@ -15,6 +15,7 @@
 func (h *Holder) releaseOthers(now time.Time) {
 	up, quiet := h.reach(now, true)
 	dark := h.darkAlone(now)
+	deaf := h.deaf(now)
 	for _, m := range h.fleet.Machines() {
 		busy := slices.ContainsFunc(m.Placements(), func(p *fleet.Placement) bool { return p.Active() && p.State != fleet.Planned })
 		boot := h.typeOf(m.Type).BootS
@@ -26,10 +27,48 @@
 		case (m.Up || m.Recorded) && !m.Releasing && h.silent(now, m) && (h.lost(now, m) || dark && h.vain(m)) && quiet*3 <= up && !h.keeps(now, m):
 			h.giveUp(m, "silent")
 			h.silenced = append(h.silenced, silenced{now, m.Zone})
+		case deaf[m] && !m.Releasing:
+			h.giveUp(m, "deaf")
 		}
 	}
 }
 
+// deaf lists machines that report and take nothing, which an earlier holder may have launched
+// on: what that left is not proven gone while they are answered, though their leases are over.
+// When it is more than a third of them, one zone aside, a network has failed that will be back.
+func (h *Holder) deaf(now time.Time) map[*fleet.Machine]bool {
+	if now.Sub(h.fleet.Claimed) < h.times.silence+h.cfg.Workers.Lease {
+		return nil
+	}
+	out, ups, deafs, worst := make(map[*fleet.Machine]bool), make(map[string]int), make(map[string]int), ""
+	for _, m := range h.fleet.Unproven() {
+		if !h.fleet.Heeds(now, m) && h.called[m.ID].failures >= 2 && h.quiet(now, m) < h.times.silence {
+			out[m] = true
+			if deafs[m.Zone]++; worst == "" || deafs[m.Zone] > deafs[worst] {
+				worst = m.Zone
+			}
+		}
+	}
+	if len(out) == 0 {
+		return nil
+	}
+	up, n := 0, 0
+	for _, m := range h.fleet.Machines() {
+		if m.Up {
+			ups[m.Zone]++
+		}
+	}
+	for zone, all := range ups {
+		if zone != worst || len(ups) == 1 {
+			up, n = up+all, n+deafs[zone]
+		}
+	}
+	if n*3 > up {
+		return nil
+	}
+	return out
+}
+
 // reach counts the machines that should be heard and those that are overdue. Ones
 // that were lately given up for their silence count as both: when many fall
 // silent, it is more likely that a network failed than that they all died, and
--- a/internal/round/run.go
+++ b/internal/round/run.go
@@ -218,7 +218,7 @@
 		c := call{machine: m.ID, addr: m.Addr, session: cmp.Or(m.Session, m.LastSession)}
 		// Where calls are in vain while reports come, launches go by the answers.
 		reached := last.failures < 2 || now.Sub(last.at) >= longRaise
-		c.commands, c.launched = h.fleet.Direct(m, valid && reached && now.Sub(m.Heard) < h.times.direct)
+		c.commands, c.launched = h.fleet.Direct(m, valid && reached && now.Sub(m.Heard) < h.times.direct && h.fleet.Heeds(now, m))
 		if len(c.commands) > 0 {
 			if c.what = fmt.Sprint(c.commands); len(c.launched) > 0 || c.what != last.what || now.Sub(last.at) >= directGap {
 				out = append(out, c)
--- a/internal/round/zones.go
+++ b/internal/round/zones.go
@@ -270,7 +270,7 @@
 		return
 	}
 	for _, m := range unproven {
-		if !h.dark(m.Zone) && !h.silent(now, m) {
+		if !h.dark(m.Zone) && !h.silent(now, m) && h.fleet.Heeds(now, m) {
 			return
 		}
 	}
