--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -248,14 +248,14 @@
 	order    []*Machine // by name; replaced when one goes
 	tasks    map[wire.TaskID][]*Placement
 	buried   map[string]number // gone machines, which a stale list may still show, and their last message
-	released map[string]bool
+	released map[string]number
 }
 
 // New gives the empty fleet of a term. linger bounds for how long after the
 // claim an earlier holder may have gone on answering reports.
 func New(term uint64, claimed time.Time, workerLease, linger, listLag time.Duration) *Fleet {
 	return &Fleet{Term: term, Claimed: claimed, lease: workerLease, linger: max(linger, 0), listLag: listLag,
-		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]number), released: make(map[string]bool)}
+		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]number), released: make(map[string]number)}
 }
 
 // Know adds a machine that the cloud or a report names. One that the store did
@@ -320,10 +320,29 @@
 
 // Released notes that the cloud has acknowledged a machine's release: nothing
 // that comes in its name later is news. After a cut, its reports may still do.
-func (f *Fleet) Released(id string) { f.released[id] = true }
+func (f *Fleet) Released(id string) {
+	if m := f.machines[id]; m != nil {
+		f.released[id] = number{m.Session, m.seq}
+	} else if !f.Ghost(id) {
+		f.released[id] = number{}
+	}
+}
 
 // Ghost reports whether a machine is known to have been released.
-func (f *Fleet) Ghost(id string) bool { return f.released[id] }
+func (f *Fleet) Ghost(id string) bool { _, ok := f.released[id]; return ok }
+
+// News reports whether a report is newer than all that was heard of its machine, also of one
+// that is gone. A copy that comes late tells nothing, nor of the machine's zone.
+func (f *Fleet) News(r *wire.Report) bool {
+	last, gone := f.released[r.Machine]
+	if !gone {
+		last = f.buried[r.Machine]
+	}
+	if m := f.machines[r.Machine]; m != nil {
+		last = number{m.Session, m.seq}
+	}
+	return last.before(r)
+}
 
 // Gone forgets a machine that is proven not to exist any more.
 func (f *Fleet) Gone(id string) {
@@ -403,7 +422,7 @@
 // that an unseen launch was not taken only if it came by itself (own), since
 // the answer that carried the launch may be in flight beside any other.
 func (f *Fleet) Observe(now time.Time, r *wire.Report, own bool) []Event {
-	if f.released[r.Machine] {
+	if f.Ghost(r.Machine) {
 		return nil
 	}
 	if last, gone := f.buried[r.Machine]; gone && !last.before(r) {
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -278,8 +278,10 @@
 func (h *Holder) Report(now time.Time, r *wire.Report, launch bool) wire.Answer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hear(now, r.Machine)
-	h.heardIn(now, r)
+	if h.fleet.News(r) {
+		h.hear(now, r.Machine)
+		h.heardIn(now, r)
+	}
 	events := h.fleet.Observe(now, r, true)
 	h.take(now, events)
 	if h.fleet.Lapses(now, r.Machine) {
