--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,6 +125,8 @@
 	reportSeq   uint64       // of the newest report
 	launchSeq   uint64       // of the newest report of which the answer carried launches
 	met         bool         // something of the session has been heard
+	unheeded    int          // signs in a row that it takes nothing that it is told
+	unheededAt  time.Time    // when the first of them was seen, of this session
 	proven      bool         // holds nothing from before the term, though not seen at it
 	placements  []*Placement // in a fixed order; replaced, never changed in place
 }
@@ -145,6 +147,26 @@
 	delete(m.images, image)
 }
 
+// A machine may be deaf: its reports come, and what it is told is lost. After so many signs of
+// it in a row nothing is launched there.
+const deafSigns = 2
+
+// sign notes that what a machine was told was lost.
+func (m *Machine) sign(now time.Time) {
+	if m.unheeded++; m.unheeded == 1 {
+		m.unheededAt = now
+	}
+}
+
+// Heeds reports whether a machine takes what it is told, as far as is known. One that is in a
+// session for longer than that could last without an answer does.
+func (f *Fleet) Heeds(now time.Time, m *Machine) bool {
+	return m.unheeded < deafSigns || now.Sub(m.unheededAt) > f.over()+margin
+}
+
+// over is how long after its last answer a machine's lease has surely run out.
+func (f *Fleet) over() time.Duration { return time.Duration(float64(f.lease)*(1+drift)) + margin }
+
 // answered notes that the lease may count from as late as now.
 func (m *Machine) answered(now time.Time) {
 	if m.Answered.Before(now) {
@@ -226,14 +248,14 @@
 	order    []*Machine // by name; replaced when one goes
 	tasks    map[wire.TaskID][]*Placement
 	buried   map[string]number // gone machines, which a stale list may still show, and their last message
-	released map[string]bool
+	released map[string]number
 }
 
 // New gives the empty fleet of a term. linger bounds for how long after the
 // claim an earlier holder may have gone on answering reports.
 func New(term uint64, claimed time.Time, workerLease, linger, listLag time.Duration) *Fleet {
 	return &Fleet{Term: term, Claimed: claimed, lease: workerLease, linger: max(linger, 0), listLag: listLag,
-		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]number), released: make(map[string]bool)}
+		machines: make(map[string]*Machine), tasks: make(map[wire.TaskID][]*Placement), buried: make(map[string]number), released: make(map[string]number)}
 }
 
 // Know adds a machine that the cloud or a report names. One that the store did
@@ -298,10 +320,29 @@
 
 // Released notes that the cloud has acknowledged a machine's release: nothing
 // that comes in its name later is news. After a cut, its reports may still do.
-func (f *Fleet) Released(id string) { f.released[id] = true }
+func (f *Fleet) Released(id string) {
+	if m := f.machines[id]; m != nil {
+		f.released[id] = number{m.Session, m.seq}
+	} else if !f.Ghost(id) {
+		f.released[id] = number{}
+	}
+}
 
 // Ghost reports whether a machine is known to have been released.
-func (f *Fleet) Ghost(id string) bool { return f.released[id] }
+func (f *Fleet) Ghost(id string) bool { _, ok := f.released[id]; return ok }
+
+// News reports whether a report is newer than all that was heard of its machine, also of one
+// that is gone. A copy that comes late tells nothing, nor of the machine's zone.
+func (f *Fleet) News(r *wire.Report) bool {
+	last, gone := f.released[r.Machine]
+	if !gone {
+		last = f.buried[r.Machine]
+	}
+	if m := f.machines[r.Machine]; m != nil {
+		last = number{m.Session, m.seq}
+	}
+	return last.before(r)
+}
 
 // Gone forgets a machine that is proven not to exist any more.
 func (f *Fleet) Gone(id string) {
@@ -377,29 +418,19 @@
 	Gone      bool // it is no longer there, and did not end in sight
 }
 
-// Late reports whether a report says nothing that is not known better: it is a copy, or was
-// held up, or its machine is no more.
-func (f *Fleet) Late(r *wire.Report) bool {
-	if m := f.machines[r.Machine]; m != nil {
-		return !(number{m.Session, m.seq}).before(r)
-	}
-	last, gone := f.buried[r.Machine]
-	return gone && !last.before(r)
-}
-
 // Observe takes in a worker's report, whichever way it came. A report proves
 // that an unseen launch was not taken only if it came by itself (own), since
 // the answer that carried the launch may be in flight beside any other.
 func (f *Fleet) Observe(now time.Time, r *wire.Report, own bool) []Event {
-	if f.released[r.Machine] {
-		return nil
-	}
-	if f.Late(r) {
+	if f.Ghost(r.Machine) || !f.News(r) {
 		return nil // its list is as old as the report; what is no more would be launched on
 	}
 	m := f.Know(now, r.Machine, r.Type, r.Zone, r.Spot)
 	var events []Event
 	if r.Session > m.Session {
+		if own && m.met && now.Sub(m.Answered) < f.lease { // it has not taken that answer
+			m.unheeded, m.unheededAt = deafSigns, now
+		}
 		for _, p := range m.Placements() {
 			// Proof 2: the worker has forgotten all tasks of earlier sessions,
 			// and executes nothing that was sent for one.
@@ -416,6 +447,12 @@
 		m.met = true
 		m.answered(now)
 	}
+	switch {
+	case !own:
+		m.unheeded = 0 // a call was answered
+	case r.Term < f.Term && m.reportSeq > 0:
+		m.sign(now) // nor taken the term from the answer to its last report
+	}
 	m.seq = r.Seq
 	m.Addr, m.Heard = r.Addr, now
 	if !m.Up {
@@ -425,7 +462,7 @@
 		m.Notice = now.Add(wire.Seconds(*r.NoticeS))
 	}
 	if r.Term == f.Term && !m.AtTerm {
-		m.AtTerm = true
+		m.AtTerm, m.unheeded = true, 0
 		m.answered(now) // an earlier holder's answer may have come until now
 	}
 	for _, t := range r.Tasks {
@@ -434,7 +471,7 @@
 		}
 	}
 	if m.AtTerm && r.Term >= f.Term {
-		events = f.missing(m, r, own, events)
+		events = f.missing(now, m, r, own, events)
 	}
 	if own {
 		m.reportSeq = r.Seq
@@ -443,7 +480,13 @@
 }
 
 // missing deals with what a report at the own term does not list.
-func (f *Fleet) missing(m *Machine, r *wire.Report, own bool, events []Event) []Event {
+func (f *Fleet) missing(now time.Time, m *Machine, r *wire.Report, own bool, events []Event) []Event {
+	lost := false
+	defer func() {
+		if lost {
+			m.sign(now)
+		}
+	}()
 	for _, p := range m.Placements() {
 		if p.State == Planned || slices.ContainsFunc(r.Tasks, func(t wire.ReportedTask) bool { return t.Attempt == p.Attempt && t.ID == p.Task }) {
 			continue
@@ -455,6 +498,7 @@
 			if !own {
 				continue
 			}
+			lost = lost || p.said
 			if p.State, p.said = Planned, false; p.Stop != nil && !p.loose {
 				f.remove(m, p)
 				events = append(events, Event{p, true})
@@ -476,6 +520,9 @@
 		p = &Placement{Task: t.ID, Attempt: t.Attempt, Machine: m.ID, Placed: now, Committed: true}
 		f.add(m, p)
 	}
+	if p.State == Sent {
+		m.unheeded = 0
+	}
 	state := Running // also for what this version does not know: it is there
 	switch t.State {
 	case wire.TaskFetching:
@@ -537,7 +584,7 @@
 		return cmds
 	}
 	// Of a report that has come again, nobody waits for the answer.
-	launch = launch && m.serves() && r.Seq > m.launchSeq
+	launch = launch && m.serves() && r.Seq > m.launchSeq && f.Heeds(now, m)
 	kept := 0
 	for _, p := range m.Placements() {
 		switch {
@@ -622,7 +669,7 @@
 // Expire applies the proofs that time gives, and returns what they show gone.
 func (f *Fleet) Expire(now time.Time) []Event {
 	var events []Event
-	over := time.Duration(float64(f.lease)*(1+drift)) + margin
+	over := f.over()
 	for _, m := range f.Machines() {
 		switch {
 		case m.AtTerm && now.Sub(m.Answered) > over:
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -295,7 +295,7 @@
 		h.log.Warn("impossible report", "machine", r.Machine, "session", r.Session, "number", r.Seq, "why", why)
 		return false
 	}
-	if h.fleet.Late(r) {
+	if !h.fleet.News(r) {
 		h.odd.Late++
 		return true
 	}
--- a/meetings_sim_test.go
+++ b/meetings_sim_test.go
@@ -285,8 +285,8 @@
 	return &mishaps[i], &mishaps[(i+7+round*5)%n] // 5 and their number have no common divisor
 }
 
-// met counts what has come about in all cases that were played, lest troubles are only names.
-var met struct{ putOff, putOffTaken, echoes, sessions, takeovers, cancelled, twoParts atomic.Int64 }
+// came counts what has come about in all cases that were played, lest troubles are only names.
+var came struct{ putOff, putOffTaken, echoes, sessions, takeovers, cancelled, twoParts atomic.Int64 }
 
 // playMeeting plays a day on which two troubles meet while jobs of every shape run, among them
 // arrays of which the tasks end far apart, and users cancel before, in and after the meeting
@@ -356,12 +356,12 @@
 	}
 
 	late, taken := w.store.PutOff()
-	met.putOff.Add(int64(late))
-	met.putOffTaken.Add(int64(taken))
-	met.echoes.Add(int64(w.echo.Came()))
-	met.takeovers.Add(int64(w.term() - term))
+	came.putOff.Add(int64(late))
+	came.putOffTaken.Add(int64(taken))
+	came.echoes.Add(int64(w.echo.Came()))
+	came.takeovers.Add(int64(w.term() - term))
 	if by == "zone" {
-		met.twoParts.Add(1)
+		came.twoParts.Add(1)
 	}
 }
 
@@ -455,7 +455,7 @@
 				time.Sleep(left)
 				asked = true
 				if until("POST", path+"/"+wire.CancelWord, []byte{}, true) == 200 {
-					met.cancelled.Add(1)
+					came.cancelled.Add(1)
 				}
 				continue
 			}
@@ -500,9 +500,9 @@
 		return
 	}
 	t.Logf("%d writes put off, %d of them taken, %d reports again, %d claims, %d jobs cancelled, %d of %d days in two parts",
-		met.putOff.Load(), met.putOffTaken.Load(), met.echoes.Load(), met.takeovers.Load(), met.cancelled.Load(), met.twoParts.Load(), to-from)
-	for what, n := range map[string]*atomic.Int64{"write was put off": &met.putOff, "write that was put off was taken": &met.putOffTaken, "report came again": &met.echoes,
-		"controller took over": &met.takeovers, "job was cancelled": &met.cancelled, "day was in two parts": &met.twoParts} {
+		came.putOff.Load(), came.putOffTaken.Load(), came.echoes.Load(), came.takeovers.Load(), came.cancelled.Load(), came.twoParts.Load(), to-from)
+	for what, n := range map[string]*atomic.Int64{"write was put off": &came.putOff, "write that was put off was taken": &came.putOffTaken, "report came again": &came.echoes,
+		"controller took over": &came.takeovers, "job was cancelled": &came.cancelled, "day was in two parts": &came.twoParts} {
 		if n.Load() == 0 {
 			t.Errorf("no %s in all these cases", what)
 		}
