Door: the read that a submission is answered by goes beside its write

The read is asked for when the submission comes and takes place beside the write; only after a long write or one whose answer was lost is there another.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -120,6 +120,7 @@
 func (d *Door) Submit(ctx context.Context, job *wire.Job) (rec store.JobRecord, created bool, err error) {
 	ctx, cancel := context.WithTimeout(store.For(ctx, store.Submissions), writePatience)
 	defer cancel()
+	asked, read := time.Now(), d.Follow.Ask() // beside the write, which takes as long
 	for range 4 {
 		// The gate first: once the job was not found, only a submission that is
 		// taken before the gate moves can be its first.
@@ -131,8 +132,16 @@
 		}
 		rec, created, err := d.accept(ctx, job, gate)
 		switch {
+		case created && (err != nil || time.Since(asked) > longWrite):
+			if err := d.Follow.Barrier(ctx); err != nil {
+				return rec, false, fmt.Errorf("%w: %w", ErrLater, err)
+			}
+			return d.written(ctx, job.ID, rec, err == nil)
 		case created:
-			return d.written(ctx, job.ID, rec)
+			if err := read(ctx); err != nil {
+				return rec, false, fmt.Errorf("%w: %w", ErrLater, err)
+			}
+			return d.written(ctx, job.ID, rec, true)
 		case !errors.Is(err, errMoved):
 			return rec, false, err
 		}
@@ -143,15 +152,19 @@
 	return rec, false, ErrLater
 }
 
+// longWrite is how long a write may take beside the read that was asked for before it: what
+// happened to the job elsewhere meanwhile is not in that.
+const longWrite = 300 * time.Millisecond
+
 // written tells how a job stands that was written just now as mine says. However old the view was
-// in which it was not found, and however long the write took: another controller may have accepted
-// and ended the job meanwhile, and then it is over by its first home, whatever was written here.
-func (d *Door) written(ctx context.Context, id string, mine store.JobRecord) (store.JobRecord, bool, error) {
-	if err := d.Follow.Barrier(ctx); err != nil {
-		return mine, false, fmt.Errorf("%w: %w", ErrLater, err)
-	}
+// in which it was not found, another controller may have accepted and ended the job by then, and
+// then it is over by its first home, whatever was written here. sure says that the write was answered.
+func (d *Door) written(ctx context.Context, id string, mine store.JobRecord, sure bool) (store.JobRecord, bool, error) {
 	rec, known, err := d.Find(ctx, id)
-	if err == nil && !known {
+	switch {
+	case err == nil && !known && sure:
+		return mine, true, nil // the read was before the write
+	case err == nil && !known:
 		err = ErrLater // it was not written: another process had taken the same name
 	}
 	created := rec.Job != nil && rec.Created == mine.Created && rec.Job.Work == mine.Job.Work
@@ -167,7 +180,8 @@
 	return rec, false, err
 }
 
-// accept writes a job that was not found, or refuses it.
+// accept writes a job that was not found, or refuses it. Where it is written with an error, that
+// is errTaken.
 func (d *Door) accept(ctx context.Context, job *wire.Job, gate uint64) (rec store.JobRecord, created bool, err error) {
 	types := d.Types()
 	if types == nil || !d.Open() || ctx.Err() != nil { // one that nobody waits for takes no place in the queue
@@ -183,14 +197,16 @@
 	if d.Route != nil {
 		rec.Shares, rec.Grouping = d.Route(job, types)
 	}
-	if err := d.Intake.Add(ctx, job.ID, rec, gate); errors.Is(err, ErrTooLarge) {
+	err = d.Intake.Add(ctx, job.ID, rec, gate)
+	switch {
+	case errors.Is(err, ErrTooLarge):
 		return d.refuse(ctx, job.ID, err)
-	} else if err != nil {
+	case err != nil && !errors.Is(err, errTaken):
 		return rec, false, err
 	}
 	d.Log.Info("job accepted", "job", job.ID, "class", job.Class, "team", job.Team, "tasks", job.Tasks)
 	d.Accepted()
-	return rec, true, nil
+	return rec, true, err
 }
 
 // refuse refuses a job for ever, unless it is one that was accepted, perhaps elsewhere just
--- a/internal/door/intake.go
+++ b/internal/door/intake.go
@@ -53,6 +53,8 @@
 	// errMoved means that the gate has moved: the job may have been accepted, have
 	// ended and have gone into the history since it was looked up.
 	errMoved = errors.New("the gate of submissions has moved")
+	// errTaken means that a copy without an answer was taken before.
+	errTaken = errors.New("an earlier copy was taken")
 )
 
 // maxBatch bounds a batch, which is written again when one of its jobs ends, beside
@@ -172,7 +174,7 @@
 		case errors.As(err, &conflict):
 			err = errMoved
 			if slices.Contains(conflict.Failed, key) {
-				err = nil // an earlier copy was taken
+				err = errTaken
 			}
 			finish(group, err)
 			return
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -203,7 +203,10 @@
 
 // Barrier returns once the view holds everything that was in the store when
 // Barrier was called. All who wait share one cheap read.
-func (f *Follower) Barrier(ctx context.Context) error {
+func (f *Follower) Barrier(ctx context.Context) error { return f.Ask()(ctx) }
+
+// Ask begins a barrier; what it gives waits for it.
+func (f *Follower) Ask() (wait func(ctx context.Context) error) {
 	f.mu.Lock()
 	b := f.next
 	if b == nil {
@@ -215,10 +218,12 @@
 		}
 	}
 	f.mu.Unlock()
-	select {
-	case <-b.done:
-		return b.err
-	case <-ctx.Done():
-		return ctx.Err()
+	return func(ctx context.Context) error {
+		select {
+		case <-b.done:
+			return b.err
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
