--- /dev/null
+++ b/internal/claim/run_test.go
@@ -0,0 +1,47 @@
+package claim
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestLateChangeOfTiers: a change of the tiers has no answer and is carried out when the settings
+// are as before, others have divided the fleet and held its parts since, and none of the parts that
+// it knows of is held. It is refused: one part's holder would go by other tiers than the next's.
+func TestLateChangeOfTiers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		net, s, log := standin.NewNet(), standin.NewStore(1, 0), slog.New(slog.NewTextHandler(io.Discard, nil))
+		go net.Host("10.2.0.1").Listen(ctx, "10.2.0.1:2379", 0, s.Serve())
+		synctest.Wait()
+		s.Commit(wire.Txn{Then: []wire.Change{{Put: store.TermKey, Value: uint64(4)}}})
+		c, v := store.NewClient(net.Host("10.0.0.1"), "10.2.0.1:2379", 100, 100, 1, log), store.NewView(log)
+		k := &Keeper{Claim: New("me", 9*time.Second, 3*time.Second), Group: fleet.One(), Tiers: "new", Client: c, View: v,
+			Follow: store.NewFollower(c, v, log), Log: log, Agreed: func() (string, bool) { return "", true }}
+		go k.Follow.Run(ctx)
+		go k.Follow.RunBarriers(ctx)
+		time.Sleep(time.Second)
+		s.Stage(func(s *standin.Store) {
+			s.Holds = func(puts []string) bool { return len(puts) == 1 && puts[0] == store.TiersKey }
+		})
+		if _, alike := k.tiered(ctx); alike {
+			t.Error("the state does not follow the settings yet")
+		}
+		s.Commit(wire.Txn{Then: []wire.Change{{Put: store.TermKey, Value: uint64(5)}, {Put: store.PartKey("a"), Value: store.PartRecord{Holder: "other", Term: 5}}}})
+		if n := s.Release(); n != 0 {
+			t.Error("the late change was taken")
+		}
+		stop()
+		net.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -319,3 +319,38 @@
 		t.Errorf("the queue begins with %v, %v, %v of %d", in.queue[0].id, in.queue[1].id, in.queue[2].id, len(in.queue))
 	}
 }
+
+// TestLateSubmissionBeforeGate: the same, while the gate has not moved: the late copy is taken, for
+// its key is absent again. What was folded goes before it: the job does not come back, is not
+// answered otherwise, and goes into the history only once the gate has moved.
+func TestLateSubmissionBeforeGate(t *testing.T) {
+	two(t, func(t *testing.T, s *standin.Store, a, b *office) {
+		a.folder.MergeAt = 99
+		s.Stage(func(s *standin.Store) {
+			s.Holds = func(puts []string) bool { return len(puts) > 0 && strings.Contains(puts[0], "/batch/10.0.0.1") }
+		})
+		a.ask(t, "submit", "wk-1", "later")
+		s.Stage(func(s *standin.Store) { s.Holds = nil })
+		b.ask(t, "submit", "wk-1", "pending")
+		b.ask(t, "cancel", "wk-1", "withdrawn")
+		a.fold(t)
+		if n := s.Release(); n != 1 {
+			t.Errorf("%d late submissions were taken", n)
+		}
+		time.Sleep(time.Second)
+		still := func() {
+			t.Helper()
+			for _, o := range []*office{a, b} {
+				o.ask(t, "status", "wk-1", "withdrawn")
+				o.ask(t, "submit", "wk-1", "withdrawn")
+				if _, live := o.View.Live("wk-1"); live {
+					t.Error("the job is back")
+				}
+			}
+		}
+		still()
+		a.folder.MergeAt = 0
+		a.fold(t)
+		still()
+	})
+}
