--- a/latewrites_sim_test.go
+++ b/latewrites_sim_test.go
@@ -601,6 +601,26 @@
 	return found
 }
 
+// TestNewKindIsSeen: a write of another kind of key, or with a condition less, is of no kind.
+func TestNewKindIsSeen(t *testing.T) {
+	fence, grant := wire.Condition{Key: store.PartKey("a"), Version: 7}, wire.Condition{Key: store.GrantKey, Version: 5}
+	put := wire.Change{Put: store.GrantKey, Value: store.GrantRecord{}}
+	for name, x := range map[string]struct {
+		txn  wire.Txn
+		want string
+	}{
+		"as it is":      {wire.Txn{If: []wire.Condition{fence, grant}, Then: []wire.Change{put}}, "grant"},
+		"unfenced":      {wire.Txn{If: []wire.Condition{grant}, Then: []wire.Change{put}}, ""},
+		"another key":   {wire.Txn{If: []wire.Condition{fence, grant}, Then: []wire.Change{put, {Put: store.Root + "other"}}}, ""},
+		"unconditional": {wire.Txn{Then: []wire.Change{{Put: store.TermKey, Value: uint64(1)}}}, ""},
+	} {
+		var sent txnAsSent
+		if err := wire.Decode(wire.Encode(x.txn), &sent); err != nil || kindOf(&sent) != x.want {
+			t.Errorf("%s: %q, %v", name, kindOf(&sent), err)
+		}
+	}
+}
+
 // TestLateWritesAreExplained: each kind has its line in the table.
 func TestLateWritesAreExplained(t *testing.T) {
 	text, err := os.ReadFile("docs/design.md")
