--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -164,10 +164,15 @@
 // Hold keeps what a host sends from now on over the connections that it has, and delivers it
 // after a while, also if the host has gone and is back meanwhile.
 func (n *Net) Hold(host string, d time.Duration) {
+	n.HoldTo(host, func(string) bool { return true }, d)
+}
+
+// HoldTo does so with what it sends to some hosts.
+func (n *Net) HoldTo(host string, to func(peer string) bool, d time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for c := range n.conns {
-		if c.local == host && c.held == nil {
+		if c.local == host && c.held == nil && to(c.peer) {
 			c.held = &held{}
 			time.AfterFunc(d, c.release)
 		}
--- a/meetings_sim_test.go
+++ b/meetings_sim_test.go
@@ -181,6 +181,15 @@
 		})
 	}},
 	{"what a controller sends is held up", 1 * sec, 40 * sec, func(m *meeting, d time.Duration) { m.net.Hold(m.badIP(), d) }},
+	{"what controllers send to machines is held up", 1 * sec, 40 * sec, func(m *meeting, d time.Duration) {
+		for i := range m.count {
+			m.net.HoldTo(m.ip(i), func(peer string) bool { return strings.HasPrefix(peer, "10.1.") }, d)
+		}
+	}},
+	{"what the state service sends to a controller is held up", 1 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		ip, all := m.badIP(), m.luck.IntN(3) == 0
+		m.net.HoldTo(stateHost, func(peer string) bool { return all || peer == ip }, d)
+	}},
 	{"the state service is out for a while", 1 * sec, 20 * sec, func(m *meeting, d time.Duration) { lasting(d, m.store.Outage) }},
 	{"the state service is out for longer than cancel_s", 46 * sec, 70 * sec, func(m *meeting, d time.Duration) { lasting(d, m.store.Outage) }},
 	{"the state service is slow", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
