--- a/internal/round/share.go
+++ b/internal/round/share.go
@@ -320,6 +320,9 @@
 	if len(next) > maxShares || slices.Equal(next, shares) || gang && len(next) != 1 {
 		return false
 	}
+	if l.Record.Job.OneZone && slices.ContainsFunc(next, func(s store.Share) bool { return s.Part != to && !s.Done }) {
+		return false // no part knows in which zones another has tasks of it
+	}
 	if !h.rewriteShares(d, id, l, next) {
 		return false
 	}
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -105,7 +105,7 @@
 		if kv["priority"] != "" {
 			j.Priority = wire.Priority(kv["priority"])
 		}
-		j.Spread, j.EstimateS = kv["spread"] != "", float64(num("estimate", 0))
+		j.Spread, j.OneZone, j.EstimateS = kv["spread"] != "", kv["one_zone"] != "", float64(num("estimate", 0))
 		rec := store.JobRecord{Stage: wire.Pending, Tasks: j.Tasks, Job: j}
 		if kv["key"] == "own" { // as version 1 stored it
 			b.apply(wire.Change{Put: store.JobKey(j.ID), Value: rec})
