Round: a gang that one of several parts called done is done when they become one

The one part that follows took only the tasks of the share that was marked for done. Where the other's machine was gone, it launched the rest of the gang alone.

--- a/internal/round/carry.go
+++ b/internal/round/carry.go
@@ -73,6 +73,9 @@
 				j.stored.Set(i)
 			}
 			h.fresh[id] = true
+			if gangDone(l, l.Record.Shares) { // its tasks complete together
+				h.finish(wire.TaskID{Job: id, Index: s.From}, j)
+			}
 		}
 	}
 }
--- a/internal/round/ends_test.go
+++ b/internal/round/ends_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"amberdeal.example/amberdeal/internal/regroup"
 	"amberdeal.example/amberdeal/internal/store"
 	"amberdeal.example/amberdeal/wire"
 )
@@ -84,3 +85,33 @@
 		}
 	}
 }
+
+// TestGangIsDoneInPieces: one of two parts has said that its tasks of a gang are done, and the
+// state becomes one part. The other task's machine is gone with what it knew: the gang is done
+// all the same, since its tasks complete together, and nothing of it is started.
+func TestGangIsDoneInPieces(t *testing.T) {
+	b := newBench(t)
+	b.step("job wk-1 gang team=blue tasks=3")
+	b.step("machine n-1 a holds=wk-1/0#1.1,wk-1/1#1.1")
+	b.step("shares wk-1 0-2/a,done 2-3/b")
+	b.cfg.Tuning.Parts.By = "off"
+	state := b.view.State()
+	txn, err := regroup.Next(&state, b.cfg.Grouping(), func(string) (store.Takes, bool) { return store.Takes{}, false })
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.apply(txn.Then...)
+	var out []string
+	for _, line := range []string{"claim term=5", "report n-1 1/1 term=1", "report n-1 1/2 term=5", "round", "report n-1 1/3 term=5", "round"} {
+		out = append(out, b.step(line)...)
+	}
+	t.Log(strings.Join(out, "\n"))
+	if !slices.Contains(out, "put batch/wk-1 wk-1=done 0-2/a,done 2-3/b") && !slices.Contains(out, "put batch/wk-1 wk-1=done") {
+		t.Error("it is not called done")
+	}
+	for _, line := range out {
+		if strings.HasPrefix(line, "launch") {
+			t.Errorf("%s, which is done", line)
+		}
+	}
+}
