--- a/internal/round/carry.go
+++ b/internal/round/carry.go
@@ -72,10 +72,10 @@
 				j.finished.Set(i)
 				j.stored.Set(i)
 			}
-			// One part has seen a gang complete and the others' word was never written: where
-			// the fleet is one part again nobody else says so, and what is left would be
-			// started for ever, without its mates.
-			h.finish(wire.TaskID{Job: id, Index: s.From}, j)
+			h.fresh[id] = true
+			if gangDone(l, l.Record.Shares) { // its tasks complete together
+				h.finish(wire.TaskID{Job: id, Index: s.From}, j)
+			}
 		}
 	}
 }
