Standin: a host that is slow at each step is slow

The time until which it stands still, long ago, outweighed what each step takes, so that Slow did nothing.

--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -198,7 +198,7 @@
 // hold waits while a host stands still, and for as long as its steps take.
 func (n *Net) hold(host string) {
 	n.mu.Lock()
-	still, slow := time.Until(n.still[host]), n.slow[host]
+	still, slow := max(0, time.Until(n.still[host])), n.slow[host]
 	n.mu.Unlock()
 	if slow != nil {
 		still += slow()
