--- a/internal/store/view_test.go
+++ b/internal/store/view_test.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// TestListOvertakenByBarrier: a list that was begun before a barrier is taken in after it. What the
+// barrier has shown, and was told from memory since, stays.
+func TestListOvertakenByBarrier(t *testing.T) {
+	v := NewView(slog.Default())
+	job := pending("wk-1")
+	older := []wire.Item{item(JobKey("wk-1"), job, 4)}
+	v.Load(older, 5, &wire.Changes{Revision: 5})
+	v.Apply(&wire.Changes{Revision: 8, Events: []wire.Event{event(JobKey("wk-1"), job.End(wire.Cancelled, time.Unix(1e9, 0)), 8)}})
+	v.Load(older, 5, &wire.Changes{Revision: 7})
+	if rec, _ := v.Job("wk-1"); rec.Stage != wire.Cancelled || v.Revision() != 8 {
+		t.Errorf("at revision %d it is %s", v.Revision(), rec.Stage)
+	}
+}
+
 func pending(id string) JobRecord {
 	return JobRecord{Stage: wire.Pending, Tasks: 1, Job: &wire.Job{ID: id, Tasks: 1}}
 }
