--- a/internal/round/model_time_test.go
+++ b/internal/round/model_time_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-
 	"amberdeal.example/amberdeal/internal/agent"
 	"amberdeal.example/amberdeal/internal/claim"
 	"amberdeal.example/amberdeal/internal/config"
@@ -40,7 +39,11 @@
 	*model // the store and the views
 	now    time.Time
 	plant  string
-	count  map[string]int // steps of each kind that were taken
+	may    []budget
+	count  map[string]int // steps that were taken of each
+	rank   int            // of the last step: within a moment they come in the order in which they are listed
+	any    bool           // or in any
+	grants int
 	ctl    [2]*timedNode
 	work   map[string]*timedWorker
 	down   bool
@@ -94,21 +97,29 @@
 
 // timedScenario is where a search begins and what may happen: of each kind of step so many.
 type timedScenario struct {
-	name  string
-	tasks int
-	limit float64
-	from  string
-	depth int
-	may   string // kinds of steps and how many of each at most
-	meets string // what must have come about somewhere
-	plant string // what is planted there, if anything
-}
-
-func (s *timedScenario) budget() map[string]int {
-	out := map[string]int{}
-	for _, f := range strings.Fields(s.may) {
-		kind, n, _ := strings.Cut(f, ":")
-		out[kind], _ = strconv.Atoi(n)
+	name   string
+	tasks  int
+	limit  float64
+	from   string
+	depth  int
+	may    string // steps, by how they begin, and how many of each at most
+	meets  string // what must have come about somewhere
+	plants string // faults that are found if they are planted there
+	plant  string // the one that is planted
+	any    bool   // within a moment steps come in any order, not only as they are listed
+}
+
+// budget is how many steps that begin so may be taken.
+type budget struct {
+	begins string
+	most   int
+}
+
+func (s *timedScenario) budget() (out []budget) {
+	for _, f := range strings.Split(s.may, "; ") {
+		begins, n, _ := strings.Cut(f, ":")
+		most, _ := strconv.Atoi(n)
+		out = append(out, budget{begins, most})
 	}
 	return out
 }
@@ -125,7 +136,7 @@
 
 func newTimed(s *timedScenario) *timed {
 	m := &timed{model: &model{cfg: timedConfig(s.limit), keys: map[string]cell{}, completed: map[wire.TaskID]bool{}, limit: s.limit, tasks: s.tasks},
-		now: modelNow, plant: s.plant, count: map[string]int{}, work: map[string]*timedWorker{}, met: map[string]bool{}}
+		now: modelNow, plant: s.plant, may: s.budget(), any: s.any, count: map[string]int{}, work: map[string]*timedWorker{}, met: map[string]bool{}}
 	j := &wire.Job{ID: timedJob, Class: "c", Shape: wire.Array, Team: "red", Priority: wire.Normal, Tasks: s.tasks, CPUs: 1, GPUs: 1, MemoryGB: 1, Image: "img"}
 	m.apply([]wire.Change{{Put: store.BatchKey("x"), Value: store.BatchRecord{Jobs: map[string]store.JobRecord{j.ID: {Stage: wire.Pending, Tasks: s.tasks, Job: j}}}}})
 	for i := range m.ctl {
@@ -148,8 +159,8 @@
 
 func (m *timed) grant(i int) {
 	c := m.ctl[i]
-	c.number, c.lease = uint64(10+10*m.count["grant"]+i), m.now
-	m.count["grant"]++
+	c.number, c.lease = uint64(10+10*m.grants+i), m.now
+	m.grants++
 	c.claim.Granted(c.number, m.now)
 }
 
@@ -386,8 +397,8 @@
 	for _, id := range []string{"a", "b"} {
 		m.expire(m.work[id], true)
 	}
-	for _, c := range m.ctl {
-		if !m.down && !c.lease.IsZero() && m.now.Sub(c.lease) >= m.cfg.Tuning.Lease {
+	for i, c := range m.ctl {
+		if i == 0 && !m.down && !c.lease.IsZero() && m.now.Sub(c.lease) >= m.cfg.Tuning.Lease {
 			c.lease = time.Time{}
 			var rec store.PartRecord
 			if p, ok := m.keys[store.PartKey(timedPart)]; ok && wire.DecodeValue(p.raw, &rec) == nil && rec.Lease == c.number {
@@ -395,6 +406,13 @@
 			}
 		}
 	}
+	if c := m.ctl[1]; m.served(1) && !c.lease.IsZero() { // it is well
+		c.lease = m.now
+		c.claim.Renewed(m.now)
+		if c.holder != nil {
+			m.read(1)
+		}
+	}
 	for _, c := range m.ctl { // the duties of a holder go on whatever the store does
 		if c.holder != nil && !c.dead {
 			c.holder.Tend(m.now, c.view.Snapshot())
@@ -542,11 +560,17 @@
 }
 
 // steps lists what can happen next.
-func (m *timed) steps(may map[string]int) []string {
+func (m *timed) steps(may []budget) []string {
 	var out []string
 	add := func(kind string, args ...any) {
-		if m.count[kind] < may[kind] {
-			out = append(out, strings.TrimSpace(kind+" "+fmt.Sprintln(args...)))
+		step := strings.TrimSpace(kind + " " + fmt.Sprintln(args...))
+		for k, b := range may {
+			if strings.HasPrefix(step, b.begins) {
+				if m.count[b.begins] < b.most && (k >= m.rank || m.any) {
+					out = append(out, step)
+				}
+				return
+			}
 		}
 	}
 	add("tick")
@@ -571,9 +595,6 @@
 					add("ask", i)
 				}
 			}
-			if c.claim.Confirmed().Before(m.now) {
-				add("renew", i)
-			}
 			if _, held := c.view.Part(timedPart); !held && c.holder == nil && c.claim.Valid(m.now) && c.seen == m.rev {
 				add("claim", i)
 				add("holdclaim", i)
@@ -583,6 +604,9 @@
 				add("holdcancel", i)
 			}
 		}
+		if !m.down && c.claim.Confirmed().Before(m.now) { // renewals may succeed where reads are refused
+			add("renew", i)
+		}
 		if c.reading != nil {
 			add("answer", i)
 		}
@@ -641,7 +665,15 @@
 // take makes a step.
 func (m *timed) take(step string) {
 	f := strings.Fields(step)
-	m.count[f[0]]++
+	for k, b := range m.may {
+		if strings.HasPrefix(step, b.begins) {
+			m.count[b.begins]++
+			if m.rank = k; f[0] == "tick" {
+				m.rank = 0
+			}
+			break
+		}
+	}
 	last := 0
 	if len(f) > 1 {
 		last, _ = strconv.Atoi(f[len(f)-1])
--- a/internal/round/model_timed_test.go
+++ b/internal/round/model_timed_test.go
@@ -28,7 +28,7 @@
 }
 
 // sum tells states apart, by the ages of what they rest on.
-func (m *timed) sum(may map[string]int) uint64 {
+func (m *timed) sum() uint64 {
 	d := xxhash.New()
 	put := func(format string, args ...any) { fmt.Fprintf(d, format+"\n", args...) }
 	for _, key := range slices.Sorted(maps.Keys(m.keys)) {
@@ -94,15 +94,18 @@
 		r := w.core.Look()
 		put("%s %v %d %d %d %v", id, w.gone, r.Session, r.Term, m.age(w.answered), r.Tasks)
 	}
-	if may["copy"] > m.count["copy"] {
+	if slices.ContainsFunc(m.may, func(b budget) bool { return strings.HasPrefix(b.begins, "copy") }) {
 		for _, r := range m.copies {
 			now := m.work[strings.TrimPrefix(r.Machine, "n-")].core.Look()
 			put("%s %d %d %d %v", r.Machine, now.Session-r.Session, int(now.Seq)-int(r.Seq), r.Term, r.Tasks)
 		}
 	}
+	if !m.any {
+		put("%d", m.rank)
+	}
 	put("%v %d %v", m.down, m.age(m.told), m.completed)
-	for _, kind := range sortedKeys(may) {
-		put("%d", m.count[kind])
+	for _, b := range m.may {
+		put("%d", m.count[b.begins])
 	}
 	return d.Sum64()
 }
@@ -114,6 +117,7 @@
 			m.take(step)
 		}
 	}
+	m.rank = 0
 	clear(m.count)
 	for _, step := range path {
 		m.take(step)
@@ -132,27 +136,26 @@
 // try tries all orders of what a scenario allows, breadth first.
 func (s *timedScenario) try(depth int) tried {
 	out := tried{met: map[string]bool{}}
-	may := s.budget()
 	seen := map[uint64]bool{}
-	level := [][]string{nil}
+	type found struct {
+		path, steps []string
+		sum         uint64
+		broken      string
+		met         map[string]bool
+	}
+	first := timedAt(s, nil)
+	level := []found{{steps: first.steps(first.may)}}
 	for range depth {
-		type found struct {
-			path   []string
-			sum    uint64
-			broken string
-			met    map[string]bool
-		}
 		next := make([][]found, len(level))
 		var group sync.WaitGroup
 		work := make(chan int)
 		for range runtime.GOMAXPROCS(0) {
 			group.Go(func() {
 				for i := range work {
-					m := timedAt(s, level[i])
-					for _, step := range m.steps(may) {
-						m := timedAt(s, level[i])
+					for _, step := range level[i].steps {
+						m := timedAt(s, level[i].path)
 						m.take(step)
-						next[i] = append(next[i], found{append(slices.Clone(level[i]), step), m.sum(may), m.broken, m.met})
+						next[i] = append(next[i], found{append(slices.Clone(level[i].path), step), m.steps(m.may), m.sum(), m.broken, m.met})
 					}
 				}
 			})
@@ -173,7 +176,7 @@
 				}
 				if !seen[f.sum] {
 					seen[f.sum] = true
-					level = append(level, f.path)
+					level = append(level, f)
 				}
 			}
 		}
@@ -185,17 +188,72 @@
 	return out
 }
 
-const timedRuns = "decide 0; commit 0; report a 0; report a 0"
+const timedRuns = "decide 0; commit 0; report a 0; report b 0; report a 0; report b 0"
+
+// rest is a moment in which the leader renews, reads and hears one machine.
+const rest = "; tick; renew 0; sync 0; report a 0"
 
 var timedScenarios = []timedScenario{
-	{name: "the leader alone is refused, and its renewals go on", tasks: 1, from: timedRuns, depth: 30,
-		may:   "tick:11 cancel:1 refuse:1 sync:1 renew:3 report:3",
-		meets: "refused alone after a cancellation; the old leader answers after a cancellation; cancel_s has passed"},
+	{name: "the leader alone is refused", tasks: 1, from: timedRuns + "; refuse 0; cancel 1", depth: 30,
+		may:    "renew 0:1; report b 0:2; tick:11",
+		meets:  "refused alone after a cancellation; the old leader answers after a cancellation; cancel_s has passed",
+		plants: "answers by the claim alone; answers by the last renewal alone"},
+	{name: "all are refused after the leader alone", tasks: 1, from: timedRuns + "; refuse 0; cancel 1", depth: 30,
+		may:    "down:1; renew 0:1; report b 0:2; up:1; tick:11",
+		meets:  "refused alone after a cancellation; down after a cancellation; the old leader answers after a cancellation; cancel_s has passed",
+		plants: "answers by the claim alone"},
+	{name: "a read that is answered late", tasks: 1, from: timedRuns + "; ask 0; cancel 1; tick; tick", depth: 30,
+		may:    "renew 0:1; answer 0:1; report b 0:2; tick:9",
+		meets:  "the old leader answers after a cancellation; cancel_s has passed",
+		plants: "a read counts from its answer"},
+	{name: "a takeover from a leader that is refused", tasks: 1, from: timedRuns + "; refuse 0; tick; tick; tick; sync 1; claim 1; report a 1; report a 1", depth: 30,
+		may:    "report b 0:1; report b 1:1; lose b 1:1; report a 1:3; decide 1:1; commit 1:1; tick:6",
+		meets:  "takeover with a task running; deaf",
+		plants: "proof 5 without the time that others answer"},
+	{name: "a takeover and a cancellation", tasks: 1, from: timedRuns + "; refuse 0; tick; tick; tick; sync 1; claim 1; cancel 1", depth: 30,
+		may:   "report b 0:1; lose b 0:1; sync 1:1; report b 1:1; call 1:1; release 1:1; tick:10",
+		meets: "takeover with a task running; the old leader answers after a cancellation; cancel_s has passed"},
+	{name: "a deaf machine", tasks: 1, from: timedRuns + rest, depth: 30,
+		may:    "renew 0:1; lose b 0:1; decide 0:1; commit 0:1; report a 0:3; tick:3",
+		meets:  "deaf",
+		plants: "proof 3 without its margin"},
+	{name: "a team's limit and a deaf machine", tasks: 2, limit: 1, from: timedRuns + rest, depth: 30,
+		may:    "renew 0:1; decide 0:1; commit 0:1; report a 0:3; tick:3",
+		meets:  "deaf",
+		plants: "proof 3 without its margin"},
+	{name: "late copies of reports", tasks: 2, limit: 1, from: timedRuns, depth: 8,
+		may:    "finish b:1; copy:1; decide 0:2; commit 0:1; report a 0:1; report b 0:1; tick:1",
+		meets:  "a copy of an older report",
+		plants: "a report is taken though older"},
+	{name: "late copies from an earlier session", tasks: 1, from: timedRuns + rest + rest + rest + rest + "; expire b; renew 0; sync 0", depth: 9,
+		may:   "report b 0:2; copy:1; decide 0:1; commit 0:1; report a 0:1; tick:1",
+		meets: "a copy from an earlier session; a later session"},
+	{name: "late rounds and cancellations", tasks: 1, from: timedRuns + "; finish b; report b 0", depth: 9,
+		may: "holdcancel 1:1; decide 0:2; hold 0:1; late:2; cancel 1:1; commit 0:1; sync 0:1; tick:1", any: true,
+		meets:  "a late round after newer ones; a late round is taken; a late cancellation after newer ones; a late cancellation is taken; a copy of a round was taken",
+		plants: "an end is not bound to the job's record"},
+	{name: "late rounds and claims of a takeover", tasks: 1, from: "decide 0; hold 0; refuse 0; tick; tick; tick; sync 1", depth: 9,
+		may: "holdclaim 1:1; claim 1:1; late:2; sync 1:1; report a 1:2; report b 1:2; decide 1:1; commit 1:1; tick:1", any: true,
+		meets: "a late claim is taken; a late claim after newer ones; a late round after newer ones; takeover"},
+	{name: "a launch and the end of its leader", tasks: 1, from: "decide 0; report b 0; report b 0; die 0; tick; tick; tick; sync 1; claim 1; report a 1; report a 1", depth: 8,
+		may:    "late:1; decide 1:1; commit 1:1; report b 1:2; report a 1:1; tick:2",
+		meets:  "takeover; a late round after newer ones",
+		plants: "a launch is said before its round is stored"},
+	{name: "a call that is held up", tasks: 1, from: "decide 0; commit 0; losecall 0", depth: 12,
+		may:    "renew 0:1; decide 0:1; commit 0:1; arrive:1; report a 0:2; tick:4",
+		meets:  "a late call is carried out",
+		plants: "a call without an answer counts as refused"},
+	{name: "a call that is held up and a cancellation", tasks: 1, from: "decide 0; commit 0; losecall 0; refuse 0; cancel 1", depth: 30,
+		may:   "arrive:1; renew 0:1; report b 0:2; call 0:1; tick:10",
+		meets: "a late call is carried out; the old leader answers after a cancellation; cancel_s has passed"},
+	{name: "an end that is not stored yet", tasks: 1, from: timedRuns + "; finish b", depth: 10,
+		may: "report b 0:3; decide 0:1; commit 0:1; hold 0:1; late:1; refuse:1; tick:2", any: true,
+		plants: "a clear before the end is stored"},
 }
 
-func (s *timedScenario) run(t *testing.T, more int) {
+func (s *timedScenario) run(t *testing.T) {
 	begun := time.Now()
-	r := s.try(s.depth + more)
+	r := s.try(s.depth)
 	if r.broken != "" {
 		t.Errorf("%s, by %s", r.broken, strings.Join(r.path, "; "))
 	}
@@ -207,11 +265,43 @@
 	t.Logf("%d orders, %d states, %v; met %v", r.orders, r.states, time.Since(begun).Round(time.Millisecond), slices.Sorted(maps.Keys(r.met)))
 }
 
+// timedWide makes the search wider: AMBERDEAL_TIMED=N adds N to what each kind of step may
+// be taken, and lets those of a moment come in any order.
+func timedWide(s timedScenario) *timedScenario {
+	more, _ := strconv.Atoi(os.Getenv("AMBERDEAL_TIMED"))
+	if more > 0 {
+		s.any, s.depth = true, s.depth+5*more
+		var may []string
+		for _, b := range s.budget() {
+			may = append(may, fmt.Sprintf("%s:%d", b.begins, b.most+more))
+		}
+		s.may = strings.Join(may, "; ")
+	}
+	return &s
+}
+
 // TestModelTime searches each scenario.
 func TestModelTime(t *testing.T) {
-	more, _ := strconv.Atoi(os.Getenv("AMBERDEAL_TIMED"))
-	for i := range timedScenarios {
-		s := &timedScenarios[i]
-		t.Run(s.name, func(t *testing.T) { s.run(t, more) })
+	for _, s := range timedScenarios {
+		t.Run(s.name, func(t *testing.T) { timedWide(s).run(t) })
+	}
+}
+
+// TestModelTimeFinds plants a fault into a scenario, and demands that the search finds it.
+func TestModelTimeFinds(t *testing.T) {
+	for _, s := range timedScenarios {
+		for _, plant := range strings.Split(s.plants, "; ") {
+			if plant == "" {
+				continue
+			}
+			t.Run(plant+" in "+s.name, func(t *testing.T) {
+				s.plant = plant
+				r := s.try(s.depth)
+				if r.broken == "" {
+					t.Errorf("not found in %d orders", r.orders)
+				}
+				t.Logf("%d orders: %s, by %s", r.orders, r.broken, strings.Join(r.path, "; "))
+			})
+		}
 	}
 }
