--- a/internal/round/model_time_test.go
+++ b/internal/round/model_time_test.go
@@ -28,9 +28,9 @@
 	timedStep = 3 * time.Second
 	timedPart = "fleet"
 	timedJob  = "wk-1"
-	// lateKill is for how long a worker may not look at its lease, in which it is neither heard
-	// nor takes anything: half of it is the clocks' drift over days, the rest a machine
-	// that hangs. Proofs by time leave a margin for it.
+	// lateKill is for how long a worker may be late to look at its lease: until then its tasks
+	// are on the machine, though it neither says nor takes anything. Proofs by time leave a
+	// margin for it.
 	lateKill = 4 * time.Second
 )
 
