--- a/internal/round/model_time_test.go
+++ b/internal/round/model_time_test.go
@@ -267,11 +267,11 @@
 	confirmed := c.claim.Confirmed()
 	switch m.plant {
 	case "answers by the claim alone":
-		return valid, valid || m.now.Sub(confirmed) < Linger(m.cfg)
+		return valid, valid || m.now.Sub(confirmed) < m.cfg.Workers.Linger()
 	case "answers by the last renewal alone":
-		return valid, m.now.Sub(confirmed) < Linger(m.cfg)
+		return valid, m.now.Sub(confirmed) < m.cfg.Workers.Linger()
 	case "answers by the knowledge alone":
-		return valid, m.now.Sub(c.view.CurrentAt()) < Linger(m.cfg) || valid
+		return valid, m.now.Sub(c.view.CurrentAt()) < m.cfg.Workers.Linger() || valid
 	}
 	return valid, c.holder.Entitled(m.now, valid, confirmed)
 }
@@ -283,15 +283,15 @@
 		return wire.Answer{}, false
 	}
 	if r.Tasks = slices.Clone(r.Tasks); m.plant == "a clear before the end is stored" {
-		a := m.ctl[i].holder.Report(m.now, r, valid)
+		a, ok := m.ctl[i].holder.Report(m.now, r, valid)
 		for _, p := range m.ctl[i].holder.fleet.Machine(r.Machine).Placements() {
 			if p.State == fleet.Ended {
 				p.Settled = true
 			}
 		}
-		return a, true
+		return a, ok
 	}
-	return m.ctl[i].holder.Report(m.now, r, valid), true
+	return m.ctl[i].holder.Report(m.now, r, valid)
 }
 
 func (m *timed) report(id string, i int, arrives bool) {
