--- a/internal/round/carry.go
+++ b/internal/round/carry.go
@@ -28,7 +28,7 @@
 func (h *Holder) carryFrom(carried bool, last *store.Recalled) {
 	h.carry = carry{machines: map[string]bool{}, asks: map[string]bool{}, jobs: map[string]bool{}, said: carried}
 	if h.names = (names{}); !h.group.Whole() {
-		h.names.of = make(map[string]map[string]uint64, len(last.Machines))
+		h.names.of, h.names.on = make(map[string]map[string]uint64, len(last.Machines)), make(map[string]map[string]bool)
 		for id, m := range last.Machines {
 			h.names.take(id, m.Tasks)
 		}
--- a/internal/round/share.go
+++ b/internal/round/share.go
@@ -362,6 +362,7 @@
 // So a ledger must not name a task any more that is given to another part.
 type names struct {
 	of  map[string]map[string]uint64 // by machine; nil where there is one part
+	on  map[string]map[string]bool   // the machines of which it names tasks of a job
 	old map[string]bool              // machines of which it names a task that is to be given away
 }
 
@@ -370,7 +371,19 @@
 	if delete(n.old, machine); n.of == nil {
 		return
 	}
-	if delete(n.of, machine); len(tasks) > 0 {
+	for name := range n.of[machine] {
+		job, _, _ := strings.Cut(name, "/")
+		if delete(n.on[job], machine); len(n.on[job]) == 0 {
+			delete(n.on, job)
+		}
+	}
+	delete(n.of, machine)
+	for name := range tasks {
+		job, _, _ := strings.Cut(name, "/")
+		if n.on[job] == nil {
+			n.on[job] = make(map[string]bool)
+		}
+		n.on[job][machine] = true
 		n.of[machine] = tasks
 	}
 }
@@ -379,8 +392,8 @@
 // them are written anew.
 func (h *Holder) named(job string) map[int]bool {
 	var out map[int]bool
-	for machine, tasks := range h.names.of {
-		for name := range tasks {
+	for machine := range h.names.on[job] {
+		for name := range h.names.of[machine] {
 			if !strings.HasPrefix(name, job+"/") {
 				continue
 			}
