--- a/guards_test.go
+++ b/guards_test.go
@@ -9,6 +9,32 @@
 	"testing"
 )
 
+// guard is a line of the sources, and the same without the guard.
+type guard struct{ name, file, with, without string }
+
+func guards(t *testing.T) (out []guard) {
+	text, err := os.ReadFile("testdata/guards.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, g := range strings.Split(string(text), "\n\n") {
+		if l := strings.Split(strings.Trim(g, "\n"), "\n"); len(l) == 4 { // or what the file says of itself
+			out = append(out, guard{strings.TrimPrefix(l[0], "# "), l[1], strings.TrimPrefix(l[2], "- "), strings.TrimPrefix(l[3], "+ ")})
+		}
+	}
+	return out
+}
+
+// TestGuardsApply: each guard still names one place of its file.
+func TestGuardsApply(t *testing.T) {
+	for _, g := range guards(t) {
+		b, err := os.ReadFile(g.file)
+		if n := strings.Count(string(b), g.with); err != nil || n != 1 {
+			t.Errorf("%s: %s has %d of %q, %v", g.name, g.file, n, g.with, err)
+		}
+	}
+}
+
 // TestGuardsAreNeeded takes each guard of testdata/guards.txt out of a copy of the sources,
 // and demands that the kept traces, the model, or the days of TestProofsHoldHoweverSlow and
 // TestPartsHold, TestRegroupHolds or TestBackAtOnce see it. It takes minutes, and is played with AMBERDEAL_GUARDS=1 only.
@@ -16,34 +42,21 @@
 	if os.Getenv("AMBERDEAL_GUARDS") == "" {
 		t.Skip("AMBERDEAL_GUARDS is not set")
 	}
-	text, err := os.ReadFile("testdata/guards.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, guard := range strings.Split(string(text), "\n\n") {
-		lines := strings.Split(strings.Trim(guard, "\n"), "\n")
-		if len(lines) != 4 {
-			continue // what the file says of itself
-		}
-		name, file := strings.TrimPrefix(lines[0], "# "), lines[1]
-		with, without := strings.TrimPrefix(lines[2], "- "), strings.TrimPrefix(lines[3], "+ ")
-		t.Run(name, func(t *testing.T) {
+	for _, g := range guards(t) {
+		t.Run(g.name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
 			if out, err := exec.Command("cp", "-r", "go.mod", "go.sum", "wire", "internal", "testdata", dir).CombinedOutput(); err != nil {
 				t.Fatalf("%v: %s", err, out)
 			}
 			sources, _ := filepath.Glob("*.go")
-			for _, s := range append(sources, file) {
+			for _, s := range append(sources, g.file) {
 				b, err := os.ReadFile(s)
 				if err != nil {
 					t.Fatal(err)
 				}
-				if s == file {
-					if strings.Count(string(b), with) != 1 {
-						t.Fatalf("%s has %d of %q", file, strings.Count(string(b), with), with)
-					}
-					b = []byte(strings.Replace(string(b), with, without, 1))
+				if s == g.file {
+					b = []byte(strings.Replace(string(b), g.with, g.without, 1))
 				}
 				if err := os.WriteFile(filepath.Join(dir, s), b, 0o644); err != nil {
 					t.Fatal(err)
@@ -57,7 +70,7 @@
 					if strings.Contains(string(out), "build failed") {
 						t.Fatalf("%s", out)
 					}
-					fmt.Printf("%s: seen by %v\n", name, args)
+					fmt.Printf("%s: seen by %v\n", g.name, args)
 					return
 				}
 			}
