--- a/asked_sim_test.go
+++ b/asked_sim_test.go
@@ -1,11 +1,8 @@
 package amberdeal
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,52 +10,40 @@
 	"testing/synctest"
 	"time"
 
-	"amberdeal.example/amberdeal/internal/config"
-	"amberdeal.example/amberdeal/internal/httpwire"
 	"amberdeal.example/amberdeal/internal/standin"
-	"amberdeal.example/amberdeal/internal/transport"
 	"amberdeal.example/amberdeal/wire"
 )
 
-// reach asks one controller something, as users do.
-func (w *world) reach(i int, method, path string, body []byte) (*httpwire.Response, error) {
-	caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.4").Dial}
-	ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
-	defer cancel()
-	return caller.Call(ctx, standin.Address(w.ip(i), 8080), method, path, body)
-}
-
 // market is the users of a day on which much is asked, and what became of it.
 type market struct {
 	*world
 	seed    uint64
 	closing atomic.Bool // whoever has not cancelled yet, and must, does so now
 
-	answers, vain, told, repeats, overtaken atomic.Int64
+	vain, told, repeats atomic.Int64
 }
 
 // customer is a user who asks about one job at all controllers, repeats its submission with
 // whatever body, and may cancel it.
 type customer struct {
-	*market
-	job   *wire.Job
-	luck  *rand.Rand  // of its own: others draw at the same moment
-	asked atomic.Bool // to cancel it
+	*client
+	of *market
 }
 
 // comes has a user come with a job.
 func (m *market) comes(j *wire.Job, run time.Duration) *customer {
-	m.check.Submitted(j, run)
 	var n uint64
 	_, _ = fmt.Sscanf(j.ID, "wk-%d", &n)
-	return &customer{market: m, job: j, luck: rand.New(rand.NewPCG(m.seed, n))}
+	c := m.client(j, rand.New(rand.NewPCG(m.seed, n)), run)
+	c.vain = &m.vain
+	return &customer{c, m}
 }
 
 // replica has a user come with a service of one replica, and submit it.
 func (m *market) replica(id string) *customer {
-	c := m.comes(&wire.Job{ID: id, Class: "c", Team: "blue", Shape: wire.Service, Priority: wire.Production, Tasks: 1, CPUs: 2, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 1}, 24*time.Hour)
+	c := m.comes(jobOf(id, wire.Service, 1, forever), forever)
 	for try := 0; m.check.Stage(id) == "" && try < 10; try++ {
-		c.ask(try%m.count, "POST", wire.PathJobs, wire.Encode(c.job))
+		c.submit(try % m.count)
 	}
 	m.follow(id)
 	return c
@@ -66,39 +51,14 @@
 
 // end cancels a job at one controller that can.
 func (c *customer) end(i int) {
-	c.asked.Store(true)
 	for try := 0; try < 5 && !c.check.Stage(c.job.ID).Final(); try++ {
-		c.ask(i, "POST", wire.PathJobs+"/"+c.job.ID+"/"+wire.CancelWord, []byte{})
+		c.cancel(i)
 	}
-	if c.told.Add(1); c.check.Stage(c.job.ID) != wire.Cancelled {
+	if c.of.told.Add(1); c.check.Stage(c.job.ID) != wire.Cancelled {
 		c.t.Errorf("%s can't be cancelled at %d", c.job.ID, i)
 	}
 }
 
-// ask asks one controller, and has the answer judged. One that is no end and was on its way while
-// another told the end may have left before that.
-func (c *customer) ask(i int, method, path string, body []byte) int {
-	before := c.check.Stage(c.job.ID)
-	resp, err := c.reach(i, method, path, body)
-	if err != nil || resp.Status == 429 || resp.Status >= 500 {
-		c.vain.Add(1)
-		return 0
-	}
-	var s wire.JobStatus
-	_ = wire.Decode(resp.Body, &s)
-	c.answers.Add(1)
-	switch now := c.check.Stage(c.job.ID); {
-	case before == "" && resp.Status >= 400, !before.Final() && now.Final() && !s.Stage.Final():
-		c.overtaken.Add(1)
-		return resp.Status
-	}
-	c.check.Told(c.job.ID, resp.Status, s.Stage, c.asked.Load())
-	if resp.Status >= 400 {
-		c.t.Errorf("%s, which was %s, is answered %d at %d", c.job.ID, before, resp.Status, i)
-	}
-	return resp.Status
-}
-
 // body gives the submission again, as it was or another of the same name.
 func (c *customer) body() []byte {
 	other := *c.job
@@ -113,21 +73,19 @@
 	return wire.Encode(&other)
 }
 
-func (c *customer) question(i int) { c.ask(i, "GET", wire.PathJobs+"/"+c.job.ID, nil) }
+func (c *customer) question(i int) { c.ask(i, 5*time.Second, "GET", c.path(), nil) }
 
 func (c *customer) repeat(i int) {
-	c.repeats.Add(1)
-	c.ask(i, "POST", wire.PathJobs, c.body())
+	c.of.repeats.Add(1)
+	c.ask(i, 5*time.Second, "POST", wire.PathJobs, c.body())
 }
 
-// cancel asks for it at one controller, and, once told, at once at all others for all that can be asked.
-func (c *customer) cancel() {
-	c.asked.Store(true)
-	i := c.draw(c.luck, c.count)
-	if c.ask(i, "POST", wire.PathJobs+"/"+c.job.ID+"/"+wire.CancelWord, []byte{}) != 200 {
+// cancels asks for it at one controller, and, once told, at once at all others for all that can be asked.
+func (c *customer) cancels() {
+	if c.cancel(c.any()) != 200 {
 		return
 	}
-	c.told.Add(1)
+	c.of.told.Add(1)
 	var all sync.WaitGroup
 	for k := range c.count {
 		all.Go(func() {
@@ -143,20 +101,20 @@
 // after which time it cancels if that is not 0.
 func (c *customer) live(cancels time.Duration) {
 	for c.ctx.Err() == nil && c.check.Stage(c.job.ID) == "" {
-		c.ask(c.draw(c.luck, c.count), "POST", wire.PathJobs, wire.Encode(c.job))
+		c.submit(c.any())
 		time.Sleep(time.Duration(c.draw(c.luck, 500)) * time.Millisecond)
 	}
 	c.follow(c.job.ID)
 	for begun := time.Now(); c.ctx.Err() == nil; {
 		over := c.check.Stage(c.job.ID).Final()
-		if c.closing.Load() && over {
+		if c.of.closing.Load() && over {
 			return
 		}
 		time.Sleep(time.Duration(200+c.draw(c.luck, 3000)) * time.Millisecond)
-		i := c.draw(c.luck, c.count)
-		switch must := cancels > 0 && (time.Since(begun) > cancels || c.closing.Load()); {
+		i := c.any()
+		switch must := cancels > 0 && (time.Since(begun) > cancels || c.of.closing.Load()); {
 		case must && !over:
-			c.cancel()
+			c.cancels()
 		case c.draw(c.luck, 3) == 0:
 			c.repeat(i)
 		default:
@@ -171,8 +129,8 @@
 	w.group.Go(func() {
 		luck := rand.New(rand.NewPCG(seed, 12))
 		for k := range n {
-			j := &wire.Job{ID: fmt.Sprintf("wk-%06d", 1000*k+luck.IntN(1000)), Class: "c", Team: []string{"red", "blue"}[k%2], Priority: wire.Normal, Shape: wire.Array,
-				Tasks: 1 + luck.IntN(3), CPUs: 2, GPUs: 1, MemoryGB: 8, Image: fmt.Sprintf("img-%d", k%2), ImageGB: 1, EstimateS: 10}
+			j := jobOf(fmt.Sprintf("wk-%06d", 1000*k+luck.IntN(1000)), wire.Array, 1+luck.IntN(3), 10*time.Second)
+			j.Team, j.Image = []string{"red", "blue"}[k%2], fmt.Sprintf("img-%d", k%2)
 			run, cancels := time.Duration(5+luck.IntN(60))*time.Second, time.Duration(0)
 			switch k % 4 {
 			case 1:
@@ -193,7 +151,7 @@
 			id := fmt.Sprintf("wk-9%05d", k)
 			for _, path := range []string{"/" + id, "/" + id + "/" + wire.CancelWord} {
 				method := map[bool]string{true: "GET", false: "POST"}[path == "/"+id]
-				if resp, err := w.reach(k%w.count, method, wire.PathJobs+path, nil); err == nil && resp.Status != 404 && resp.Status != 503 {
+				if resp, err := w.reach(k%w.count, 5*time.Second, method, wire.PathJobs+path, nil); err == nil && resp.Status != 404 && resp.Status != 503 {
 					w.t.Errorf("%s, which nobody has submitted, is answered %d", id, resp.Status)
 				}
 			}
@@ -206,51 +164,11 @@
 // close has all that is asked for come to its end, and judges the day.
 func (m *market) close(cancels, repeats int64) {
 	m.t.Helper()
-	m.calm()
 	m.closing.Store(true)
-	m.finish(15 * time.Minute)
-	m.judge()
+	m.world.close(0, 15*time.Minute)
 	if m.told.Load() < cancels || m.repeats.Load() < repeats {
 		m.t.Errorf("%d were told that their jobs are cancelled, %d submissions came again", m.told.Load(), m.repeats.Load())
 	}
-	if m.check.Started == 0 {
-		m.t.Error("no task was started")
-	}
-}
-
-// holderOf tells who holds the fleet by the state service, -1 for nobody.
-func (w *world) holderOf() int {
-	for _, name := range w.holders() {
-		return int(name[2] - '0')
-	}
-	return -1
-}
-
-// ownStore gives each controller an address of the state service of its own, so that one alone can
-// be refused.
-func ownStore(c *config.Config) { c.StoreAddr = standin.Address("10.2.0.1", 2400+int(c.Name[2]-'0')) }
-
-func (w *world) serveEach() {
-	for i := range w.count {
-		go w.net.Host("10.2.0.1").Listen(w.ctx, standin.Address("10.2.0.1", 2400+i), 0, w.store.ServeTo(fmt.Sprint("c-", i)))
-	}
-}
-
-// apart loses all between some controllers on one side and the state service and the other controllers,
-// also on the connections that are open. Machines and users still reach them.
-func (w *world) apart(on bool, cut ...int) {
-	others := []string{"10.2.0.1"}
-	for k := range w.count {
-		if !slices.Contains(cut, k) {
-			others = append(others, w.ip(k))
-		}
-	}
-	for _, i := range cut {
-		for _, other := range others {
-			w.net.Lose(w.ip(i), other, on)
-			w.net.Lose(other, w.ip(i), on)
-		}
-	}
 }
 
 // TestRefusedAloneThenAll: the state service answers slowly, refuses the leader alone, and then
@@ -259,8 +177,7 @@
 // or answered 503. AMBERDEAL_REFUSALS sets how many days, AMBERDEAL_REFUSAL plays one.
 func TestRefusedAloneThenAll(t *testing.T) {
 	stallDays(t, 2, "AMBERDEAL_REFUSAL", func(t *testing.T, seed uint64) {
-		w := newWorldOf(t, []int{3, 5}[seed%2], seed, 0, ownStore)
-		w.serveEach()
+		w := worldOfDoors(t, []int{3, 5}[seed%2], seed, nil)
 		luck := rand.New(rand.NewPCG(seed, 13))
 		time.Sleep(8 * time.Second)
 		m := w.open(seed, 16, 6*time.Second)
@@ -269,12 +186,12 @@
 		slow := time.Duration(luck.IntN(1200)) * time.Millisecond
 		w.store.Stage(func(s *standin.Store) { s.Delay = func() time.Duration { return slow } })
 		time.Sleep(time.Duration(luck.IntN(5000)) * time.Millisecond)
-		leader := w.holderOf()
+		leader := w.leader()
 		other := (leader + 1) % w.count
 		if leader < 0 || w.check.Running("wk-1")+w.check.Running("wk-2")+w.check.Running("wk-3") != 3 {
 			t.Errorf("%d leads, and not all run that are to be cancelled", leader)
 		}
-		w.store.Refuse(fmt.Sprint("c-", max(0, leader)), true)
+		w.refuse(max(0, leader), true)
 		time.Sleep(time.Duration(luck.IntN(3000)) * time.Millisecond)
 		first.end(other)
 		time.Sleep(time.Duration(luck.IntN(20)) * time.Second)
@@ -290,9 +207,9 @@
 			t.Errorf("%d cancellations were told in the outage, in which %d questions were not answered", m.told.Load()-told, m.vain.Load()-vain)
 		}
 		if luck.IntN(2) == 0 { // the leader is served again only after the others
-			time.AfterFunc(20*time.Second, func() { w.store.Refuse(fmt.Sprint("c-", max(0, leader)), false) })
+			time.AfterFunc(20*time.Second, func() { w.refuse(max(0, leader), false) })
 		} else {
-			w.store.Refuse(fmt.Sprint("c-", max(0, leader)), false)
+			w.refuse(max(0, leader), false)
 		}
 		w.store.Outage(false)
 		w.store.Stage(func(s *standin.Store) { s.Delay = nil })
@@ -315,7 +232,7 @@
 				m := w.open(61, 16, 2*time.Second)
 				early, late, stays := m.replica("wk-1"), m.replica("wk-2"), m.replica("wk-3")
 				time.Sleep(30 * time.Second)
-				leader := w.holderOf()
+				leader := w.leader()
 				early.end(leader)
 				cutOff := []int{leader}
 				if cut.also > 0 {
@@ -325,7 +242,7 @@
 				since := time.Now()
 				var unready time.Duration
 				for time.Since(since) < 2*time.Minute {
-					resp, err := w.reach(leader, "GET", wire.PathReady, nil)
+					resp, err := w.reach(leader, 5*time.Second, "GET", wire.PathReady, nil)
 					if err != nil {
 						t.Fatal(err)
 					}
@@ -349,7 +266,7 @@
 							continue // or it may be written
 						}
 						begun := time.Now()
-						resp, err := w.reach(leader, ask.method, wire.PathJobs+ask.path, ask.body)
+						resp, err := w.reach(leader, 5*time.Second, ask.method, wire.PathJobs+ask.path, ask.body)
 						took := time.Since(begun)
 						switch {
 						case err != nil || resp.Status != 503 || resp.RetryAfter == 0:
@@ -363,13 +280,13 @@
 				if unready == 0 || unready > 7*time.Second {
 					t.Errorf("it is not ready from %v after the cut on", unready)
 				}
-				if holder := w.holderOf(); holder == leader || w.check.Stage("wk-2") != wire.Cancelled {
+				if holder := w.leader(); holder == leader || w.check.Stage("wk-2") != wire.Cancelled {
 					t.Errorf("%d leads after %d, and wk-2 is %s", holder, leader, w.check.Stage("wk-2"))
 				}
 				w.apart(false, cutOff...)
 				over := time.Now()
 				for {
-					if resp, err := w.reach(leader, "GET", wire.PathReady, nil); err == nil && resp.Status == 200 {
+					if resp, err := w.reach(leader, 5*time.Second, "GET", wire.PathReady, nil); err == nil && resp.Status == 200 {
 						break
 					}
 					if time.Sleep(100 * time.Millisecond); time.Since(over) > 10*time.Second {
@@ -402,25 +319,25 @@
 // asks are troubles beside those of returns: a controller is refused or cut off for a while.
 var asks = []trouble{
 	{"the leader is refused", func(w *world, _ *rand.Rand, d time.Duration) {
-		name := fmt.Sprint("c-", max(0, w.holderOf()))
-		lasting(d, func(on bool) { w.store.Refuse(name, on) })
+		leader := max(0, w.leader())
+		lasting(d, func(on bool) { w.refuse(leader, on) })
 	}},
 	{"the leader is cut from the state service and from the others", func(w *world, _ *rand.Rand, d time.Duration) {
-		leader := max(0, w.holderOf())
+		leader := max(0, w.leader())
 		lasting(d, func(on bool) { w.apart(on, leader) })
 	}},
 	{"the leader is cut off, and the next one crashes", func(w *world, luck *rand.Rand, d time.Duration) {
-		leader := max(0, w.holderOf())
+		leader := max(0, w.leader())
 		lasting(d, func(on bool) { w.apart(on, leader) })
-		for try := 0; try < 40 && (w.holderOf() == leader || w.holderOf() < 0); try++ {
+		for try := 0; try < 40 && (w.leader() == leader || w.leader() < 0); try++ {
 			time.Sleep(500 * time.Millisecond)
 		}
-		if next := w.holderOf(); next >= 0 && next != leader {
+		if next := w.leader(); next >= 0 && next != leader {
 			w.crash(next, soon(luck), held(luck))
 		}
 	}},
 	{"the leader is cut off, and all others crash", func(w *world, luck *rand.Rand, d time.Duration) {
-		leader := max(0, w.holderOf())
+		leader := max(0, w.leader())
 		lasting(d, func(on bool) { w.apart(on, leader) })
 		for i := range w.count {
 			if i != leader {
@@ -430,7 +347,7 @@
 	}},
 	allEnd,
 	{"the leader's other process is cut off", func(w *world, luck *rand.Rand, d time.Duration) {
-		leader := max(0, w.holderOf())
+		leader := max(0, w.leader())
 		w.twin(leader, min(d, 20*time.Second), held(luck))
 		lasting(min(d, 25*time.Second), func(on bool) { w.apart(on, leader) })
 	}},
@@ -452,8 +369,7 @@
 // submit again at all of them. AMBERDEAL_ASKEDS sets how many, AMBERDEAL_ASKED plays one.
 func TestAskedThroughReturns(t *testing.T) {
 	stallDays(t, 3, "AMBERDEAL_ASKED", func(t *testing.T, seed uint64) {
-		w := newWorldOf(t, []int{3, 5}[seed%2], seed, 0, ownStore)
-		w.serveEach()
+		w := worldOfDoors(t, []int{3, 5}[seed%2], seed, nil)
 		luck := rand.New(rand.NewPCG(seed, 13))
 		time.Sleep(5 * time.Second)
 		m := w.open(seed, 16, 7*time.Second)
@@ -464,9 +380,7 @@
 			if k == 5 {
 				x = allEnd // on every day
 			}
-			if os.Getenv("SIM_LOG") != "" {
-				fmt.Fprintln(os.Stderr, time.Now(), x.name, d)
-			}
+			log(x.name, d)
 			x.cast(w, luck, d)
 			time.Sleep(time.Duration(luck.IntN(12000)) * time.Millisecond)
 		}
--- a/deaf_sim_test.go
+++ b/deaf_sim_test.go
@@ -1,7 +1,6 @@
 package amberdeal
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -14,79 +13,12 @@
 
 	"amberdeal.example/amberdeal/internal/config"
 	"amberdeal.example/amberdeal/internal/standin"
-	"amberdeal.example/amberdeal/internal/transport"
 	"amberdeal.example/amberdeal/wire"
 )
 
 // Days on which machines hear nothing, direct calls are held up and old reports come after
 // newer ones, while the leader changes.
 
-// machines says how often the machines that come up from now on report, and how late they
-// get direct calls.
-func (w *world) machines(report time.Duration, late func() time.Duration) {
-	names := map[string]string{}
-	for i := range w.count {
-		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
-	}
-	yard := standin.NewYard(w.check, 20*time.Second, 3*time.Second)
-	w.cloud.Fail(func(*standin.CloudFaults) {
-		w.cloud.Start = func(id, addr, typ, zone string, spot bool) standin.Machine {
-			host := standin.HostOf(addr)
-			w.net.Place(host, zone)
-			return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(host),
-				Down: func() { w.net.Down(host, true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: report, Late: late, Echo: w.echo})
-		}
-	})
-}
-
-// workers gives the machines that are up.
-func (w *world) workers() (out []*standin.Worker) {
-	w.cloud.Each(func(_ wire.ListedMachine, m standin.Machine) { out = append(out, m.(*standin.Worker)) })
-	return out
-}
-
-// deaf has machines hear nothing for a while, and gives them.
-func deaf(d time.Duration, machines ...*standin.Worker) []*standin.Worker {
-	for _, m := range machines {
-		lasting(d, m.Deaf)
-	}
-	return machines
-}
-
-// leader is the controller that holds the fleet, -1 for none.
-func (w *world) leader() int {
-	for _, name := range w.holders() {
-		return int(name[2] - '0')
-	}
-	return -1
-}
-
-// ask makes one request as a user, and tells the checker what came of it.
-func (w *world) ask(method, job, path string, body []byte) int {
-	for try := 0; try < 30; try++ {
-		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
-		caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.1").Dial}
-		resp, err := caller.Call(ctx, standin.Address(w.ip(try%w.count), 8080), method, path, body)
-		cancel()
-		if err == nil && resp.Status != 503 {
-			var s wire.JobStatus
-			_ = wire.Decode(resp.Body, &s)
-			w.check.Told(job, resp.Status, s.Stage, true)
-			return resp.Status
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return 0
-}
-
-// broken reports what the checker has seen.
-func (w *world) broken(t *testing.T) {
-	t.Helper()
-	for _, b := range append(w.check.Broken(), w.account().Problems...) {
-		t.Error(b)
-	}
-}
-
 // TestCancelledLaunchHeldUp: a launch goes straight to a machine and is held up, its job is
 // cancelled before the machine's next report, and the machine can't be returned, for the cloud
 // is in trouble, or the state service is out so that no claim surely lasts. The launch comes
@@ -105,7 +37,7 @@
 		}},
 		{"the cloud does not hear the leader", func(w *world) {
 			ip := w.ip(w.leader())
-			lasting(2*time.Minute, func(on bool) { w.net.Cut(ip, "10.2.0.2", on) })
+			lasting(2*time.Minute, func(on bool) { w.net.Cut(ip, cloudHost, on) })
 		}},
 	} {
 		for k, held := range []time.Duration{46 * time.Second, 50 * time.Second, 60 * time.Second} {
@@ -113,10 +45,11 @@
 				continue // the rest with the longer days
 			}
 			t.Run(fmt.Sprint(x.name, ", held ", held), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					w := newWorld(t, 31, 0, nil)
-					var hold atomic.Int64
-					sent, came := make(chan struct{}), make(chan struct{})
+				var hold atomic.Int64
+				var sent, came chan struct{}
+				var told time.Time
+				day{seed: 31, begin: func(w *world) {
+					sent, came = make(chan struct{}), make(chan struct{})
 					var once sync.Once
 					w.machines(2*time.Second, func() time.Duration {
 						d := time.Duration(hold.Load())
@@ -129,28 +62,28 @@
 						return d
 					})
 					w.service("wk-1", 3*time.Minute)
-					time.Sleep(40 * time.Second) // it runs, and all machines were heard
-					hold.Store(int64(held))
-					j := &wire.Job{ID: "wk-2", Class: "c", Team: "blue", Shape: wire.Array, Priority: wire.Normal, Tasks: 1,
-						CPUs: 1, GPUs: 1, MemoryGB: 4, Image: "img", ImageGB: 1, EstimateS: 300}
-					w.check.Submitted(j, 5*time.Minute)
-					w.ask("POST", j.ID, wire.PathJobs, wire.Encode(j))
-					<-sent
-					if w.check.Running(j.ID) > 0 {
-						t.Error("the task runs already")
-					}
-					w.ask("POST", j.ID, wire.PathJobs+"/"+j.ID+"/"+wire.CancelWord, []byte{})
-					told := time.Now()
-					hold.Store(0)
-					x.cast(w)
-					<-came
-					if late := time.Since(told); late < 45*time.Second || w.check.Stage(j.ID) != wire.Cancelled {
-						t.Errorf("the launch came %v after the user was told that the job is %s", late, w.check.Stage(j.ID))
-					}
-					time.Sleep(2 * time.Minute)
-					w.finish(10 * time.Minute)
-					w.broken(t)
-				})
+				}, steps: []step{
+					{40 * time.Second, "its launch is held up, and it is cancelled", func(w *world) { // all machines were heard
+						hold.Store(int64(held))
+						c := w.client(jobOf("wk-2", wire.Array, 1, 5*time.Minute), luckOf(31, "wk-2"), 5*time.Minute)
+						c.until(c.submit)
+						<-sent
+						if w.check.Running("wk-2") > 0 {
+							w.t.Error("the task runs already")
+						}
+						c.until(c.cancel)
+						told = time.Now()
+						hold.Store(0)
+					}},
+					{0, x.name, x.cast},
+					{0, "its launch comes", func(w *world) {
+						<-came
+						if late := time.Since(told); late < 45*time.Second || w.check.Stage("wk-2") != wire.Cancelled {
+							w.t.Errorf("the launch came %v after the user was told that the job is %s", late, w.check.Stage("wk-2"))
+						}
+					}},
+					{4 * time.Minute, "all is over", func(*world) {}},
+				}}.play(t)
 			})
 		}
 	}
@@ -178,22 +111,18 @@
 					const report = 6 * time.Second
 					w := newWorld(t, uint64(40+n), 0, func(c *config.Config) { c.Tuning.Silence, c.Workers.Report = silence, report })
 					w.machines(report, nil)
-					job := func(id, team string, shape wire.Shape, tasks int, run, until time.Duration, change func(*wire.Job)) {
-						j := &wire.Job{ID: id, Class: "c", Team: team, Shape: shape, Priority: wire.Normal, Tasks: tasks,
-							CPUs: 2, GPUs: 1, MemoryGB: 8, Image: "img", ImageGB: 1, EstimateS: run.Seconds(), Spot: true}
-						if change != nil {
-							change(j)
-						}
-						w.user(j, run, until)
+					job := func(id string, shape wire.Shape, tasks int, run, until time.Duration, change ...func(*wire.Job)) {
+						w.user(jobOf(id, shape, tasks, run, append(change, func(j *wire.Job) { j.Spot = true })...), run, until)
 					}
-					job("wk-1", "red", wire.Array, 9, 70*time.Second, 0, nil)
-					job("wk-2", "blue", wire.Gang, 4, 80*time.Second, 0, func(j *wire.Job) { j.OneZone, j.CheckpointS, j.SaveS = true, 10, 1 })
-					job("wk-3", "blue", wire.Gang, 4, 90*time.Second, 0, func(j *wire.Job) { j.Spread, j.CheckpointS, j.SaveS = true, 10, 1 })
-					job("wk-4", "blue", wire.Service, 6, 24*time.Hour, 4*time.Minute, func(j *wire.Job) { j.Spread, j.Priority = true, wire.Production })
-					job("wk-5", "blue", wire.Array, 3, 2*time.Minute, 50*time.Second, func(j *wire.Job) { j.OneZone = true })
+					saves := func(j *wire.Job) { j.CheckpointS, j.SaveS = 10, 1 }
+					job("wk-1", wire.Array, 9, 70*time.Second, 0, red)
+					job("wk-2", wire.Gang, 4, 80*time.Second, 0, oneZone, saves)
+					job("wk-3", wire.Gang, 4, 90*time.Second, 0, spread, saves)
+					job("wk-4", wire.Service, 6, forever, 4*time.Minute, spread)
+					job("wk-5", wire.Array, 3, 2*time.Minute, 50*time.Second, oneZone)
 					time.Sleep(35 * time.Second)
 					running, _ := w.check.Counts()
-					var deafened []*standin.Worker
+					var deafened []upMachine
 					listen := func() {
 						for i, m := range w.workers() {
 							if i%2 == n%2 {
@@ -227,7 +156,7 @@
 						t.Errorf("%d tasks ran, %d machines were deaf, %d lost what they had, term %d after %d", running, len(deafened), lost, w.term(), term)
 					}
 					w.finish(15 * time.Minute)
-					w.broken(t)
+					w.judge()
 				})
 			})
 		}
@@ -261,12 +190,7 @@
 	}},
 	{"the leader loses the state service and its siblings", func(w *world, _ *rand.Rand, d time.Duration) {
 		if i := w.leader(); i >= 0 {
-			for k := range w.count {
-				if k != i {
-					lasting(d, func(on bool) { w.net.Cut(w.ip(i), w.ip(k), on) })
-				}
-			}
-			lasting(d, func(on bool) { w.net.Cut(w.ip(i), "10.2.0.1", on) })
+			lasting(d, func(on bool) { w.cutOff(i, on) })
 		}
 	}},
 	{"a machine hangs and goes on", func(w *world, luck *rand.Rand, _ time.Duration) {
@@ -309,9 +233,7 @@
 				x = troubles[luck.IntN(len(troubles))]
 			}
 			d := time.Duration(1+luck.IntN(70)) * time.Second
-			if os.Getenv("SIM_LOG") != "" {
-				fmt.Fprintln(os.Stderr, time.Now(), x.name, d)
-			}
+			log(x.name, d)
 			x.cast(w, luck, d)
 			time.Sleep(time.Duration(luck.IntN(12000)) * time.Millisecond)
 		}
@@ -321,7 +243,7 @@
 			t.Errorf("%d reports came again", w.echo.Came())
 		}
 		w.finish(20 * time.Minute)
-		w.broken(t)
+		w.judge()
 		if w.check.Started == 0 {
 			t.Error("no task was started")
 		}
@@ -339,8 +261,7 @@
 				w := newWorld(t, 33, 0, func(c *config.Config) { c.Workers.Report, c.Tuning.Idle = report, time.Hour })
 				w.machines(report, nil)
 				job := func(id string, shape wire.Shape, tasks int, gpus float64, run, until time.Duration) {
-					w.user(&wire.Job{ID: id, Class: "c", Team: "blue", Shape: shape, Priority: wire.Normal, Tasks: tasks,
-						CPUs: 2, GPUs: gpus, MemoryGB: 8, Image: "img", ImageGB: 1, EstimateS: run.Seconds()}, run, until)
+					w.user(jobOf(id, shape, tasks, run, func(j *wire.Job) { j.Priority, j.GPUs = wire.Normal, gpus }), run, until)
 				}
 				job("wk-1", wire.Array, 6, 4, 20*time.Second, 0) // has six machines rented
 				time.Sleep(70 * time.Second)
@@ -365,7 +286,7 @@
 					t.Errorf("a gang has begun after %v", late)
 				}
 				w.finish(15 * time.Minute)
-				w.broken(t)
+				w.judge()
 			})
 		})
 	}
--- a/ends_sim_test.go
+++ b/ends_sim_test.go
@@ -102,26 +102,11 @@
 	}, true},
 }
 
-func crashHolder(w *world, holder int, luck *rand.Rand) { w.crash(holder, soon(luck), held(luck)) }
-
-// cutHolder takes the state service and the other controllers away from one, not its machines.
 func cutHolder(w *world, holder int, _ *rand.Rand) {
-	for i := range w.count {
-		if i != holder {
-			lasting(30*time.Second, func(on bool) { w.net.Cut(w.ip(holder), w.ip(i), on) })
-		}
-	}
-	lasting(30*time.Second, func(on bool) { w.net.Cut(w.ip(holder), "10.2.0.1", on) })
+	lasting(30*time.Second, func(on bool) { w.cutOff(holder, on) })
 }
 
-// deaf has machines be heard, and hear nothing.
-func (w *world) deaf(hosts []string, d time.Duration) {
-	for _, host := range hosts {
-		for i := range w.count {
-			lasting(d, func(on bool) { w.net.Lose(w.ip(i), host, on) })
-		}
-	}
-}
+func crashHolder(w *world, holder int, luck *rand.Rand) { w.crash(holder, soon(luck), held(luck)) }
 
 // copies has a share of the reports arrive again, from 2 s to well over a lease later.
 func (w *world) copies(seed uint64, share float64) {
@@ -182,8 +167,8 @@
 			}
 			met = true
 			w.group.Go(func() {
-				if name := w.holders()[part]; name != "" {
-					x.cast(w, int(name[2]-'0'), luck)
+				if i := w.holder(part); i >= 0 {
+					x.cast(w, i, luck)
 				}
 			})
 			return x.fate
@@ -270,7 +255,7 @@
 	{"a holder is cut from the state service and the others", func(w *world, luck *rand.Rand, d time.Duration) {
 		for _, name := range w.holders() {
 			if luck.IntN(2) == 0 {
-				cutHolder(w, int(name[2]-'0'), luck)
+				cutHolder(w, numberOf(name), luck)
 			}
 		}
 	}},
@@ -315,7 +300,7 @@
 	{"a machine is taken", func(w *world, luck *rand.Rand, _ time.Duration) { w.cloud.Take(luck.IntN(8)) }},
 	{"the cloud takes nothing back", func(w *world, _ *rand.Rand, d time.Duration) {
 		for i := range w.count {
-			lasting(d, func(on bool) { w.net.Cut(w.ip(i), "10.2.0.2", on) })
+			lasting(d, func(on bool) { w.net.Cut(w.ip(i), cloudHost, on) })
 		}
 	}},
 	{"machines restart", func(w *world, luck *rand.Rand, _ time.Duration) {
@@ -340,7 +325,7 @@
 	silence := []time.Duration{0, time.Hour}[luck.IntN(2)]
 	w := newWorldOf(t, []int{3, 5}[seed/2%2], seed, 0, func(c *config.Config) {
 		c.Tuning.Parts.By, c.Tuning.Silence = by(c.Name), silence
-		c.Zone = []string{"a", "b"}[int(c.Name[2]-'0')%2]
+		c.Zone = []string{"a", "b"}[numberOf(c.Name)%2]
 	})
 	w.copies(seed, 0.05)
 	w.group.Go(func() {
@@ -369,9 +354,7 @@
 	for range 7 {
 		for range 2 + luck.IntN(2) {
 			x, d := endTroubles[luck.IntN(len(endTroubles))], time.Duration(3+luck.IntN(50))*time.Second
-			if os.Getenv("SIM_LOG") != "" {
-				fmt.Fprintln(os.Stderr, time.Now(), x.name, d)
-			}
+			log(x.name, d)
 			w.group.Go(func() { x.cast(w, rand.New(rand.NewPCG(seed, uint64(d))), d) })
 			time.Sleep(time.Duration(luck.IntN(3000)) * time.Millisecond)
 		}
--- a/meetings_sim_test.go
+++ b/meetings_sim_test.go
@@ -1,9 +1,7 @@
 package amberdeal
 
 import (
-	"context"
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -16,7 +14,6 @@
 
 	"amberdeal.example/amberdeal/internal/config"
 	"amberdeal.example/amberdeal/internal/standin"
-	"amberdeal.example/amberdeal/internal/transport"
 	"amberdeal.example/amberdeal/wire"
 )
 
@@ -50,7 +47,6 @@
 	number uint64
 	luck   *rand.Rand
 	bad    int // the controller that troubles are about
-	machin []string
 }
 
 func (m *meeting) badIP() string { return m.ip(m.bad) }
@@ -58,37 +54,24 @@
 // aim picks whom troubles are about: mostly who holds something.
 func (m *meeting) aim() {
 	m.bad = m.luck.IntN(m.count)
-	if names := m.holders(); m.luck.IntN(4) > 0 {
+	if m.luck.IntN(4) > 0 {
 		for _, part := range []string{"fleet", "a", "b"} {
-			if name := names[part]; name != "" && (part != "a" || m.luck.IntN(2) == 0) {
-				m.bad = int(name[2] - '0')
+			if i := m.holder(part); i >= 0 && (part != "a" || m.luck.IntN(2) == 0) {
+				m.bad = i
 			}
 		}
 	}
 }
 
 // some gives some of the machines that are up: one, half, or all.
-func (m *meeting) some() (hosts []string, machines []standin.Machine, ids []string) {
+func (m *meeting) some() (out []upMachine) {
 	share := m.luck.IntN(3)
-	n := 0
-	m.cloud.Each(func(l wire.ListedMachine, x standin.Machine) {
-		if n++; share == 0 && n > 1 || share == 1 && n%2 == 0 {
-			return
-		}
-		hosts, machines, ids = append(hosts, standin.HostOf(l.Addr)), append(machines, x), append(ids, l.ID)
-	})
-	return hosts, machines, ids
-}
-
-const stateHost = "10.2.0.1"
-
-// cutPeers severs a controller from the others.
-func (m *meeting) cutPeers(i int, on bool) {
-	for k := range m.count {
-		if k != i {
-			m.net.Cut(m.ip(i), m.ip(k), on)
+	for i, x := range m.workers() {
+		if share == 0 && i == 0 || share == 1 && i%2 == 0 || share == 2 {
+			out = append(out, x)
 		}
 	}
+	return out
 }
 
 // machineHosts are those of all machines, also of those that are yet to come.
@@ -138,8 +121,8 @@
 	}},
 	{"two processes of one name", 50 * time.Millisecond, 6 * sec, func(m *meeting, d time.Duration) { m.twin(m.bad, d, held(m.luck)) }},
 	{"a controller is refused by the state service", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
-		name := fmt.Sprint("c-", m.bad)
-		lasting(d, func(on bool) { m.store.Refuse(name, on) })
+		i := m.bad
+		lasting(d, func(on bool) { m.refuse(i, on) })
 	}},
 	{"a controller is cut from the state service", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
 		ip := m.badIP()
@@ -154,15 +137,12 @@
 	}},
 	{"a controller is cut from the state service and its siblings", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
 		i := m.bad
-		lasting(d, func(on bool) {
-			m.net.Cut(m.ip(i), stateHost, on)
-			m.cutPeers(i, on)
-		})
+		lasting(d, func(on bool) { m.cutOff(i, on) })
 	}},
 	{"a controller is refused by the state service and cut from its siblings", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
 		i := m.bad
 		lasting(d, func(on bool) {
-			m.store.Refuse(fmt.Sprint("c-", i), on)
+			m.refuse(i, on)
 			m.cutPeers(i, on)
 		})
 	}},
@@ -219,47 +199,36 @@
 		time.AfterFunc(d, func() { m.echo.Share(0) })
 	}},
 	{"machines are deaf", 2 * sec, 50 * sec, func(m *meeting, d time.Duration) {
-		_, machines, _ := m.some()
-		lasting(d, func(on bool) {
-			for _, x := range machines {
-				x.(interface{ Deaf(bool) }).Deaf(on)
-			}
-		})
+		deaf(d, m.some()...)
 	}},
 	{"machines are cut off", 2 * sec, 50 * sec, func(m *meeting, d time.Duration) {
-		hosts, _, _ := m.some()
-		for _, host := range hosts {
-			lasting(d, func(on bool) { m.net.Down(host, on) })
+		for _, x := range m.some() {
+			lasting(d, func(on bool) { m.net.Down(x.host, on) })
 		}
 	}},
 	{"what machines send is held up", 1 * sec, 50 * sec, func(m *meeting, d time.Duration) {
-		hosts, _, _ := m.some()
-		for _, host := range hosts {
-			m.net.Hold(host, d)
+		for _, x := range m.some() {
+			m.net.Hold(x.host, d)
 		}
 	}},
 	{"machines can only be called", 2 * sec, 40 * sec, func(m *meeting, d time.Duration) {
-		hosts, _, _ := m.some()
-		for _, host := range hosts {
-			lasting(d, func(on bool) { m.net.Mute(host, on) })
+		for _, x := range m.some() {
+			lasting(d, func(on bool) { m.net.Mute(x.host, on) })
 		}
 	}},
 	{"machines hang", 2 * sec, 30 * sec, func(m *meeting, d time.Duration) {
-		_, machines, _ := m.some()
-		for _, x := range machines {
-			x.(interface{ Hang(time.Duration) }).Hang(d)
+		for _, x := range m.some() {
+			x.Hang(d)
 		}
 	}},
 	{"machines reboot", 0, 0, func(m *meeting, _ time.Duration) {
-		hosts, machines, ids := m.some()
-		for i, x := range machines {
-			m.reboot(ids[i], hosts[i], x, m.luck)
+		for _, x := range m.some() {
+			m.reboot(x.id, x.host, x, m.luck)
 		}
 	}},
 	{"machines die", 0, 0, func(m *meeting, _ time.Duration) {
-		_, _, ids := m.some()
-		for _, id := range ids {
-			m.cloud.Die(id)
+		for _, x := range m.some() {
+			m.cloud.Die(x.id)
 		}
 	}},
 	{"a zone is dark", 2 * sec, 60 * sec, func(m *meeting, d time.Duration) {
@@ -313,30 +282,20 @@
 	keep := []int{0, 2, 200}[luck.IntN(3)]
 	silence := []time.Duration{0, 0, time.Hour}[luck.IntN(3)]
 	told := fmt.Sprintf("case %d: %s for %v; %v later %s for %v; parts %s, %d controllers, %d reports kept, silence %v", number, first.name, lengths[0], offset, second.name, lengths[1], by, count, keep, silence)
-	w := newWorldOf(t, count, number, 0, func(c *config.Config) {
-		i := int(c.Name[2] - '0')
-		c.Zone = []string{"a", "b"}[i%2]
-		c.StoreAddr = standin.Address(stateHost, 3000+i) // a door of its own
+	w := worldOfDoors(t, count, number, func(c *config.Config) {
+		c.Zone = []string{"a", "b"}[numberOf(c.Name)%2]
 		c.Tuning.Parts.By, c.Tuning.KeepReports, c.Tuning.Silence = by, keep, silence
 	})
-	for i := range count {
-		go w.net.Host(stateHost).Listen(w.ctx, standin.Address(stateHost, 3000+i), 0, w.store.ServeTo(fmt.Sprint("c-", i)))
-	}
 	w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Capacity = 6 })
 	w.check.Known.Begin = 4 * time.Minute
 	w.check.Known.Over(time.Time{})
 	m := &meeting{world: w, number: number, luck: luck}
-	log := func(format string, args ...any) {
-		if os.Getenv("SIM_LOG") != "" {
-			fmt.Fprintln(os.Stderr, time.Now().Format("15:04:05.000"), "=====", fmt.Sprintf(format, args...))
-		}
-	}
 	defer func() {
 		if t.Failed() {
 			t.Log(told)
 		}
 	}()
-	log("%s", told)
+	log(told)
 
 	begins := 24*sec + time.Duration(luck.IntN(6000))*time.Millisecond
 	follows := begins + offset
@@ -351,18 +310,12 @@
 			at(follows)
 		}
 		m.aim()
-		log("%s for %v, about c-%d", x.name, lengths[k], m.bad)
+		log(x.name, "for", lengths[k], "about", m.bad)
 		x.cast(m, lengths[k])
 	}
 	at(over)
 	log("quiet")
-	w.calm()
-	time.Sleep(100 * sec)
-	w.finish(10 * time.Minute)
-	w.judge()
-	if w.check.Started == 0 {
-		t.Error("nothing_ran")
-	}
+	w.close(100*sec, 10*time.Minute)
 
 	came.played.Add(1)
 	late, taken := w.store.PutOff()
@@ -380,34 +333,29 @@
 	n := 0
 	job := func(shape wire.Shape, tasks int, change func(j *wire.Job), submit, cancel time.Duration, runs ...time.Duration) {
 		n++
-		j := &wire.Job{ID: fmt.Sprintf("wk-%06d", n), Class: "c", Team: "blue", Shape: shape, Priority: wire.Normal, Tasks: tasks, CPUs: 2, GPUs: 1, MemoryGB: 8,
-			Image: fmt.Sprint("img-", n%2), ImageGB: 1, EstimateS: runs[0].Seconds()}
+		j := jobOf(fmt.Sprintf("wk-%06d", n), shape, tasks, runs[0], func(j *wire.Job) { j.Image = fmt.Sprint("img-", n%2) })
 		if change != nil {
 			change(j)
 		}
-		m.submitter(j, submit, cancel, runs...)
+		m.submitter(m.number, j, submit, cancel, runs...)
 	}
-	saves := func(j *wire.Job) { j.CheckpointS, j.SaveS = 5, 1 }
-	service := func(j *wire.Job) { j.Spread, j.Priority, j.EstimateS = true, wire.Production, 0 }
-	red := func(j *wire.Job) { j.Team = "red" }
 	wobble := func(around time.Duration, ms int) time.Duration {
 		return max(14*sec, around+time.Duration(m.luck.IntN(2*ms)-ms)*time.Millisecond)
 	}
-	const forever = 24 * time.Hour
 	early := 6 * sec
-	job(wire.Service, 4, service, early, over+60*sec, forever)
-	job(wire.Service, 2, service, early, wobble(follows, 1500), forever)
+	job(wire.Service, 4, spread, early, over+60*sec, forever)
+	job(wire.Service, 2, spread, early, wobble(follows, 1500), forever)
 	job(wire.Gang, 3, func(j *wire.Job) { saves(j); j.OneZone, j.Priority = true, wire.High }, early, 0, 70*sec)
-	job(wire.Gang, 2, func(j *wire.Job) { j.Spread = true }, early, 0, 40*sec)
+	job(wire.Gang, 2, spread, early, 0, 40*sec)
 	job(wire.Gang, 2, saves, early, wobble(begins, 1500), 5*time.Minute)
 	job(wire.Array, 3, nil, early, 0, 12*sec, 45*sec, 100*sec)
 	job(wire.Array, 2, func(j *wire.Job) { saves(j); j.Spot = true }, early, 0, 30*sec, 80*sec)
 	job(wire.Array, 3, red, early, 0, 18*sec, 35*sec, 75*sec)
 	job(wire.Array, 4, red, early, 0, 20*sec)
-	job(wire.Array, 3, func(j *wire.Job) { j.Spread = true }, early, wobble(follows+1*sec, 2000), 20*sec, 5*time.Minute)
+	job(wire.Array, 3, spread, early, wobble(follows+1*sec, 2000), 20*sec, 5*time.Minute)
 	job(wire.Array, 2, nil, early, wobble(begins+(over-begins)/2, int((over-begins).Milliseconds())/2+1), 5*time.Minute)
 	job(wire.Array, 2, func(j *wire.Job) { j.Zone, j.Spot = "a", true }, early, wobble(over, 2000), 25*sec, 5*time.Minute)
-	job(wire.Array, 2, func(j *wire.Job) { j.OneZone = true }, early, over+5*sec, 5*time.Minute)
+	job(wire.Array, 2, oneZone, early, over+5*sec, 5*time.Minute)
 	for k := range 5 { // in the meeting
 		submit := wobble(begins, 2000) + time.Duration(m.luck.Int64N(int64(over-begins+sec)))
 		cancel := time.Duration(0)
@@ -419,69 +367,6 @@
 	job(wire.Gang, 2, saves, wobble(follows, 2000), 0, 15*sec)
 }
 
-// submitter is a user who submits a job some time after the day has begun, asks about it, and may
-// cancel it at another time, each through whichever controller the balancer picks. Once it is
-// over it asks them all.
-func (m *meeting) submitter(j *wire.Job, submit, cancel time.Duration, runs ...time.Duration) {
-	m.check.Submitted(j, runs[0])
-	m.check.Uneven(j.ID, runs...)
-	h := fnv.New64()
-	_, _ = h.Write([]byte(j.ID))
-	luck := rand.New(rand.NewPCG(m.number, h.Sum64()))
-	start := time.Now()
-	m.group.Go(func() {
-		time.Sleep(submit)
-		caller := &transport.Caller{Limit: wire.MaxBody, Dial: m.net.Host("10.3.0.1").Dial}
-		once := func(method, path string, body []byte, patience time.Duration, asked bool) int {
-			ctx, stop := context.WithTimeout(m.ctx, patience)
-			defer stop()
-			resp, err := caller.Call(ctx, standin.Address(m.ip(luck.IntN(m.count)), 8080), method, path, body)
-			if err != nil || m.ctx.Err() != nil {
-				return 0
-			}
-			var s wire.JobStatus
-			_ = wire.Decode(resp.Body, &s)
-			m.check.Told(j.ID, resp.Status, s.Stage, asked)
-			return resp.Status
-		}
-		until := func(method, path string, body []byte, asked bool) (status int) {
-			for m.ctx.Err() == nil {
-				if status = once(method, path, body, 5*sec, asked); status > 0 && status < 500 && status != 429 {
-					return status
-				}
-				time.Sleep(sec)
-			}
-			return 0
-		}
-		path := wire.PathJobs + "/" + j.ID
-		if status := until("POST", wire.PathJobs, wire.Encode(j), false); status != 200 && status != 201 && m.ctx.Err() == nil {
-			m.t.Errorf("%s was answered %d", j.ID, status)
-			return
-		}
-		m.follow(j.ID)
-		asked := false
-		for m.ctx.Err() == nil && !m.check.Stage(j.ID).Final() {
-			if left := cancel - time.Since(start); cancel > 0 && left < 3*sec {
-				time.Sleep(left)
-				asked = true
-				if until("POST", path+"/"+wire.CancelWord, []byte{}, true) == 200 {
-					came.cancelled.Add(1)
-				}
-				continue
-			}
-			time.Sleep(2*sec + time.Duration(luck.IntN(2000))*time.Millisecond)
-			once("GET", path, nil, 2*sec, asked)
-		}
-		for range 8 { // what was told stays so, whoever is asked
-			time.Sleep(time.Duration(luck.IntN(8000)) * time.Millisecond)
-			once("GET", path, nil, 2*sec, asked)
-		}
-		if until("POST", wire.PathJobs, wire.Encode(j), asked); asked { // a late retry finds the final state
-			until("POST", path+"/"+wire.CancelWord, []byte{}, true)
-		}
-	})
-}
-
 // TestMeetings plays every kind of trouble once as the first and once as the second of two that
 // meet. AMBERDEAL_MEETINGS sets how many cases are played, as N or FROM-TO: the square of the number of
 // troubles holds all ordered pairs, and more play them again at other offsets. AMBERDEAL_MEETING plays one.
--- a/sim_test.go
+++ b/sim_test.go
@@ -80,27 +80,17 @@
 	w.store.Limits = standin.Limits{RPS: 200, WriteRPS: 60, ValueBytes: 8192, TxnOps: 12, PageItems: 7} // small pages, so that paging is tried
 	w.check = standin.NewChecker(45*time.Second, map[string]float64{"red": 6})
 	w.ctx, w.stop = context.WithCancel(t.Context())
-	names := map[string]string{}
-	for i := range count {
-		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
-	}
 	for i := range count {
 		w.net.Place(w.ip(i), w.settings(i).Zone)
 	}
 	w.echo = &standin.Echo{Dial: w.net.Host("10.4.0.1").Dial, Most: 3 * workerLease, Rand: rand.New(rand.NewPCG(seed, 12))}
 	for i := range count {
-		w.echo.Nodes = append(w.echo.Nodes, names[fmt.Sprintf("c-%d", i)])
+		w.echo.Nodes = append(w.echo.Nodes, standin.Address(w.ip(i), 8080))
 	}
 	typ := g4
 	typ.Zones = w.settings(0).Zones
-	yard := standin.NewYard(w.check, 20*time.Second, 3*time.Second)
 	w.cloud = &standin.Cloud{Capacity: 4, Lag: 2 * time.Second, Boot: 5 * time.Second, Rand: rand.New(rand.NewPCG(seed, 3)),
-		Types: []wire.MachineType{typ},
-		Start: func(id, addr, typ, zone string, spot bool) standin.Machine {
-			w.net.Place(standin.HostOf(addr), zone)
-			return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(standin.HostOf(addr)),
-				Down: func() { w.net.Down(standin.HostOf(addr), true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: 2 * time.Second, Late: heldUp, Echo: w.echo})
-		}}
+		Types: []wire.MachineType{typ}, Start: w.machine(2*time.Second, heldUp)}
 	go w.net.Host("10.2.0.1").Listen(w.ctx, "10.2.0.1:2379", 0, w.store.Serve())
 	go w.net.Host("10.2.0.2").Listen(w.ctx, "10.2.0.2:8443", 0, w.cloud.Serve())
 	for i := range count {
@@ -111,6 +101,20 @@
 	return w
 }
 
+// machine starts machines that report so often and get direct calls so late.
+func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
+	names, yard := map[string]string{}, standin.NewYard(w.check, 20*time.Second, 3*time.Second)
+	for i := range w.count {
+		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
+	}
+	return func(id, addr, typ, zone string, spot bool) standin.Machine {
+		host := standin.HostOf(addr)
+		w.net.Place(host, zone)
+		return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(host),
+			Down: func() { w.net.Down(host, true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: report, Late: late, Echo: w.echo})
+	}
+}
+
 // draw takes a number of a source that several hosts share.
 func (w *world) draw(source *rand.Rand, n int) int {
 	w.drawing.Lock()
