Checker: launches after a cancellation, jobs that wait beside room, what must be refused; hangs pause tasks

A machine that hung went on executing its tasks: they stand still now, and the others of a gang notice.

--- a/deaf_sim_test.go
+++ b/deaf_sim_test.go
@@ -85,6 +85,7 @@
 	for _, b := range append(w.check.Broken(), w.account().Problems...) {
 		t.Error(b)
 	}
+	w.counted()
 }
 
 // TestCancelledLaunchHeldUp: a launch goes straight to a machine and is held up, its job is
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -16,6 +16,9 @@
 	Cancel time.Duration      // within which a cancelled job's tasks must be gone
 	Limits map[string]float64 // of GPUs, by team
 	Known  Forgotten          // whether what was accepted stays known
+	Site   Site               // by which submissions are judged; none are where it is empty
+	Late   Launches           // what is started though its user was told that it is cancelled
+	Room   Room               // whether jobs wait while there is room
 
 	mu        sync.Mutex
 	submitted map[string]*wire.Job
@@ -26,6 +29,8 @@
 	told      map[string]wire.Stage
 	cancelled map[string]time.Time // when the user was told
 	used      map[string]float64
+	asked     map[string]bool // users who have asked to cancel and were answered something
+	valid     map[string]bool // submissions that must be accepted
 	broken    []string
 	Started   int
 	Stopped   int // tasks that went before they had completed
@@ -35,7 +40,7 @@
 func NewChecker(cancel time.Duration, limits map[string]float64) *Checker {
 	return &Checker{Cancel: cancel, Limits: limits, submitted: map[string]*wire.Job{}, run: map[string]time.Duration{}, each: map[string][]time.Duration{},
 		places: map[wire.TaskID]map[string]string{}, finished: map[wire.TaskID]bool{}, told: map[string]wire.Stage{},
-		cancelled: map[string]time.Time{}, used: map[string]float64{}}
+		cancelled: map[string]time.Time{}, used: map[string]float64{}, asked: map[string]bool{}}
 }
 
 func (c *Checker) breaks(rule, format string, args ...any) {
@@ -49,7 +54,7 @@
 	for t, where := range c.places {
 		c.late(t, where)
 	}
-	return append(slices.Clone(c.broken), c.Known.Broken()...)
+	return slices.Concat(c.broken, c.Late.Broken(), c.Room.Broken(), c.Known.Broken())
 }
 
 func (c *Checker) late(t wire.TaskID, where map[string]string) {
@@ -96,6 +101,7 @@
 		c.breaks("wrong_place", "%v on %s %s in %s", t, typ, machine, zone)
 	}
 	c.zones(j, t)
+	c.Late.Started(time.Now(), t)
 	if at, ok := c.cancelled[t.Job]; ok && time.Since(at) > c.Cancel {
 		c.breaks("ran_cancelled", "%v starts %v after its user was told", t, time.Since(at))
 	}
@@ -171,6 +177,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	j, before := c.submitted[id], c.told[id]
+	c.asked[id] = c.asked[id] || asked
 	switch {
 	case j == nil && status == 200:
 		c.breaks("invented", "%s", id)
@@ -192,6 +199,7 @@
 	}
 	if stage == wire.Cancelled && before != wire.Cancelled {
 		c.cancelled[id] = time.Now()
+		c.Late.Cancelled(time.Now(), id)
 	}
 	c.told[id] = stage
 }
--- /dev/null
+++ b/internal/standin/measures_test.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestLaunchesAfterCancellation: a start of what was sent before the answer is counted, a launch
+// that is first sent after it too, and a fault once all troubles are over.
+func TestLaunchesAfterCancellation(t *testing.T) {
+	task := wire.TaskID{Job: "wk-1", Index: 3}
+	told := time.Unix(1000, 0)
+	for name, x := range map[string]struct {
+		sent, again, over   time.Duration // from the answer on; over below 0: never
+		late, starts, fault int
+	}{
+		"sent before, started after":         {-time.Second, time.Second, 0, 0, 1, 0},
+		"sent after, in trouble":             {time.Second, 0, -1, 1, 1, 0},
+		"sent after, in quiet":               {5 * time.Second, 0, 0, 1, 1, 1},
+		"sent after, quiet since a moment":   {5 * time.Second, 0, 4 * time.Second, 1, 1, 0},
+		"sent after, while nobody need know": {time.Second, 0, 0, 1, 1, 0},
+	} {
+		l := Launches{}
+		if x.over >= 0 {
+			l.Over(told.Add(x.over))
+		}
+		sends := func(at time.Duration) {
+			l.Sees(told.Add(at), "c-0", append([]byte("POST /do HTTP/1.1\r\n\r\n"), wire.Encode(wire.Direct{Term: 1, Commands: []wire.Command{{Verb: wire.Launch, Task: task.String(), Attempt: 2}}})...))
+		}
+		if x.sent < 0 {
+			sends(x.sent)
+		}
+		l.Cancelled(told, task.Job)
+		sends(max(x.sent, x.again))
+		l.Started(told.Add(10*time.Second), task)
+		l.Started(told.Add(10*time.Second), wire.TaskID{Job: "wk-2"})
+		starts, late := l.After()
+		if len(late) != x.late || len(starts) != x.starts || len(l.Broken()) != x.fault {
+			t.Errorf("%s: launches %v, starts %v, %v", name, late, starts, l.Broken())
+		}
+	}
+}
+
+// TestRoom: a job for which the same machines have had room for 90 s of quiet is found; none is
+// where a rule, a limit or a moment without room stands in its way.
+func TestRoom(t *testing.T) {
+	job := func(shape wire.Shape, tasks int, change func(*wire.Job)) *wire.Job {
+		j := &wire.Job{ID: "wk-1", Team: "red", Shape: shape, Priority: wire.Low, Tasks: tasks, CPUs: 2, GPUs: 1, MemoryGB: 8, ImageGB: 5}
+		if change != nil {
+			change(j)
+		}
+		return j
+	}
+	place := func(id, zone string, gpus float64) Place {
+		return Place{Machine: id, Type: "g4", Zone: zone, CPUs: 16, GPUs: gpus, Memory: 64, Cache: 20}
+	}
+	two := []Place{place("n-1", "a", 1), place("n-2", "b", 2)}
+	spot := place("n-3", "a", 4)
+	spot.Spot = true
+	for name, x := range map[string]struct {
+		job    *wire.Job
+		places []Place
+		on     map[int]string
+		used   float64 // of the team's 6 GPUs
+		gone   bool    // for a moment there is no room
+		want   string  // none, idle or partly
+	}{
+		"an array":                         {job: job(wire.Array, 9, nil), places: two, want: "idle"},
+		"a machine is away for a moment":   {job: job(wire.Array, 9, nil), places: two, gone: true},
+		"full":                             {job: job(wire.Array, 9, nil), places: []Place{place("n-1", "a", 0.5)}},
+		"another zone":                     {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two[:1]},
+		"its zone":                         {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two, want: "idle"},
+		"another type":                     {job: job(wire.Array, 1, func(j *wire.Job) { j.Types = []string{"g8"} }), places: two},
+		"a spot machine":                   {job: job(wire.Array, 1, nil), places: []Place{spot}},
+		"a spot machine that is allowed":   {job: job(wire.Array, 1, func(j *wire.Job) { j.Spot = true }), places: []Place{spot}, want: "idle"},
+		"an image that is too large":       {job: job(wire.Array, 1, func(j *wire.Job) { j.ImageGB = 30 }), places: two},
+		"its team is at its limit":         {job: job(wire.Array, 9, nil), places: two, used: 5.5},
+		"a gang":                           {job: job(wire.Gang, 3, nil), places: two, want: "idle"},
+		"a gang that is too large":         {job: job(wire.Gang, 4, nil), places: two},
+		"a gang over the limit":            {job: job(wire.Gang, 3, nil), places: two, used: 4},
+		"a gang in one zone":               {job: job(wire.Gang, 2, func(j *wire.Job) { j.OneZone = true }), places: two, want: "idle"},
+		"one that fits no zone":            {job: job(wire.Gang, 3, func(j *wire.Job) { j.OneZone = true }), places: two},
+		"a gang that is spread":            {job: job(wire.Gang, 2, func(j *wire.Job) { j.Spread = true }), places: two, want: "idle"},
+		"one that would be in one zone":    {job: job(wire.Gang, 2, func(j *wire.Job) { j.Spread = true }), places: two[1:]},
+		"replicas that are missing":        {job: job(wire.Service, 4, nil), places: two, on: map[int]string{1: "a"}, want: "partly"},
+		"the zone of the others is full":   {job: job(wire.Array, 4, func(j *wire.Job) { j.OneZone = true }), places: two[1:], on: map[int]string{1: "a"}},
+		"half of them are there already":   {job: job(wire.Array, 4, func(j *wire.Job) { j.Spread = true }), places: two[:1], on: map[int]string{1: "a", 2: "a"}},
+		"all are somewhere":                {job: job(wire.Array, 2, nil), places: two, on: map[int]string{0: "a", 1: "b"}},
+		"a gang of which a task is on yet": {job: job(wire.Gang, 2, nil), places: two, on: map[int]string{0: "a"}},
+	} {
+		r := Room{Limits: map[string]Limit{"red": {GPUs: 6}}}
+		begun := time.Unix(1000, 0)
+		r.Over(begun.Add(30 * time.Second))
+		for at := time.Duration(0); at <= 123*time.Second; at += 3 * time.Second {
+			places := x.places
+			if x.gone && at == time.Minute {
+				places = places[:0]
+			}
+			if at == 117*time.Second && len(r.Broken())+len(r.Partly()) > 0 {
+				t.Errorf("%s: too soon", name)
+			}
+			r.Sample(begun.Add(at), places, []Wants{{Job: x.job, On: maps.Clone(x.on), Finished: func(int) bool { return false }}}, map[string]Limit{"red": {GPUs: x.used}})
+		}
+		got := map[[2]int]string{{1, 0}: "idle", {0, 1}: "partly", {0, 0}: ""}[[2]int{len(r.Broken()), len(r.Partly())}]
+		if got != x.want {
+			t.Errorf("%s: %v %v, not %q", name, r.Broken(), r.Partly(), x.want)
+		}
+	}
+}
+
+// TestVerdict judges submissions by the protocol's table: each field that is missing or wrong, and
+// what can never run.
+func TestVerdict(t *testing.T) {
+	s := Site{Types: []wire.MachineType{{Name: "g8", CPUs: 96, GPUs: 8, MemoryGB: 768, Zones: []string{"a"}}, {Name: "c4", CPUs: 4, MemoryGB: 16, Zones: []string{"b"}}},
+		Teams: map[string]Limit{"red": {GPUs: 20}, "blue": {}}}
+	good := map[string]any{"uid": "wk-000412", "breed": "train", "keeper": "red", "shape": "gang", "rank": "high", "cells": 16, "vcpus": 8, "accelerators": 1.0, "mem_gb": 64.0,
+		"comb": "img-07", "image_gb": 6.2, "frames": []string{"g8"}, "apiary": nil, "one_zone": true, "spread": false, "borrowed": true, "expect_s": 240.0, "capping_s": 30.0, "seal_s": 4.0, "due_s": nil}
+	check := func(name string, want int, changes map[string]any) {
+		m := maps.Clone(good)
+		for k, v := range changes {
+			if m[k] = v; v == "absent" {
+				delete(m, k)
+			}
+		}
+		if got, why := s.Verdict(wire.Encode(m)); got != want {
+			t.Errorf("%s: %d (%s), not %d", name, got, why, want)
+		}
+	}
+	check("as it should be", 0, nil)
+	for _, f := range fieldsOfJobs {
+		check("no "+f.name, map[bool]int{true: 0, false: 400}[f.null], map[string]any{f.name: "absent"})
+		check("null as "+f.name, map[bool]int{true: 0, false: 400}[f.null], map[string]any{f.name: nil})
+		check("a map as "+f.name, 400, map[string]any{f.name: map[string]any{}})
+	}
+	for name, x := range map[string]struct {
+		want    int
+		changes map[string]any
+	}{
+		"an id of another form":         {400, map[string]any{"uid": "job-1"}},
+		"no tasks":                      {400, map[string]any{"cells": 0}},
+		"half a task":                   {400, map[string]any{"cells": 1.5}},
+		"less than nothing":             {400, map[string]any{"mem_gb": -1.0}},
+		"another shape":                 {400, map[string]any{"shape": "ring"}},
+		"another rank":                  {400, map[string]any{"rank": "urgent"}},
+		"a word for a flag":             {400, map[string]any{"spread": "yes"}},
+		"nobody's team":                 {422, map[string]any{"keeper": "green"}},
+		"a task that is too large":      {422, map[string]any{"accelerators": 9.0}},
+		"too large for what is allowed": {422, map[string]any{"frames": []string{"c4"}}},
+		"too large for the zone":        {422, map[string]any{"apiary": "b", "frames": nil}},
+		"a zone that is nowhere":        {422, map[string]any{"apiary": "z"}},
+		"a gang over the limit":         {422, map[string]any{"cells": 21}},
+		"an array of as many":           {0, map[string]any{"cells": 21, "shape": "sweep"}},
+		"a team without a limit":        {0, map[string]any{"cells": 21, "keeper": "blue"}},
+	} {
+		check(name, x.want, x.changes)
+	}
+	if got, _ := s.Verdict([]byte{0x01}); got != 400 {
+		t.Errorf("not a map: %d", got)
+	}
+
+	c := NewChecker(time.Minute, nil)
+	c.Site = s
+	odd := func(id string, change string) []byte {
+		m := maps.Clone(good)
+		m["uid"] = id
+		delete(m, change)
+		return wire.Encode(m)
+	}
+	c.Answered(odd("wk-1", "breed"), 400)
+	c.Answered(odd("wk-2", ""), 201)
+	c.Answered(odd("wk-2", "breed"), 200) // it is known
+	if b := c.Broken(); len(b) > 0 {
+		t.Errorf("%v", b)
+	}
+	c.Answered(odd("wk-3", "breed"), 201)
+	c.Answered(odd("wk-4", ""), 422)
+	if b := strings.Join(c.Broken(), "; "); b != "accepted_wrong: wk-3 is answered 201: breed is missing; refused_valid: wk-4 is answered 422" {
+		t.Error(b)
+	}
+}
+
+// TestHangPausesTasks: what is on a machine that hangs stands still, and goes on as it stood; what it
+// is told meanwhile it does then; the others of its gang exit, itself when it notices; a cancelled
+// task that goes on afterwards is seen.
+func TestHangPausesTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, a := NewNet(), &answering{got: map[string][]wire.Report{}}
+		check := NewChecker(8*time.Second, nil)
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Host("10.0.0.1").Listen(ctx, "10.0.0.1:8080", 0, a.serve("c-0"))
+		yard := NewYard(check, time.Minute, 3*time.Second)
+		machine := func(ip string) *Worker {
+			return NewWorker(WorkerConfig{ID: ip, Addr: Address(ip, 9000), Type: "g4", Zone: "a", Net: n.Host(ip), Down: func() {}, Spec: wire.MachineType{CPUs: 9, GPUs: 9, MemoryGB: 9, FetchGBps: 1},
+				Yard: yard, Controllers: map[string]string{"c-0": "10.0.0.1:8080"}, Lease: 30 * time.Second, Report: 2 * time.Second})
+		}
+		time.Sleep(time.Second)
+		w, other := machine("10.1.0.1"), machine("10.1.0.2")
+		time.Sleep(time.Second)
+		for id, j := range map[string]wire.Job{"wk-1": {Shape: wire.Array}, "wk-2": {Shape: wire.Array}, "wk-3": {Shape: wire.Array}, "wk-4": {Shape: wire.Gang, Tasks: 2}, "wk-5": {Shape: wire.Array, ImageGB: 4}} {
+			j.ID, j.Tasks, j.CPUs, j.Image = id, max(j.Tasks, 1), 1, id
+			check.Submitted(&j, map[string]time.Duration{"wk-1": 10 * time.Second}[id]+10*time.Second)
+			check.Told(id, 201, wire.Pending, false)
+		}
+		run := func(w *Worker, verb wire.Verb, tasks ...string) {
+			var d wire.Direct
+			for _, id := range tasks {
+				d.Commands = append(d.Commands, wire.Command{Verb: verb, Task: id, Attempt: 1})
+			}
+			d.Term, d.Session = 1, 1
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			_, _ = (&transport.Caller{Limit: 1 << 20, Dial: n.Host("10.0.0.1").Dial}).Call(call, w.addr, "POST", wire.PathDirect, wire.Encode(d))
+		}
+		run(other, wire.Launch, "wk-4/1")
+		run(w, wire.Launch, "wk-1/0", "wk-2/0", "wk-3/0", "wk-4/0", "wk-5/0")
+		begun := time.Now()
+		at := func(s float64, want map[string]int) {
+			t.Helper()
+			time.Sleep(time.Until(begun.Add(wire.Seconds(s))))
+			for id, n := range want {
+				if got := check.Running(id); got != n {
+					t.Errorf("after %v s %d tasks of %s are on machines, not %d", s, got, id, n)
+				}
+			}
+		}
+		at(2, map[string]int{"wk-1": 1, "wk-2": 1, "wk-4": 2, "wk-5": 0})
+		check.Told("wk-1", 200, wire.Cancelled, true)
+		check.Told("wk-2", 200, wire.Cancelled, true)
+		w.Hang(14 * time.Second)
+		if _, ok := w.Place(); ok {
+			t.Error("a machine that hangs is said to have room")
+		}
+		run(w, wire.Stop, "wk-2/0") // nobody waits for the answer any more when it is done
+		at(4.9, map[string]int{"wk-4": 2})
+		at(5.1, map[string]int{"wk-4": 1, "wk-5": 0})
+		at(15.9, map[string]int{"wk-1": 1, "wk-2": 1, "wk-3": 1, "wk-4": 1, "wk-5": 0})
+		at(16.1, map[string]int{"wk-1": 1, "wk-2": 0, "wk-3": 1, "wk-4": 0, "wk-5": 0})
+		at(17.9, map[string]int{"wk-5": 0})
+		at(18.1, map[string]int{"wk-5": 1})
+		at(23.9, map[string]int{"wk-1": 1, "wk-3": 1})
+		at(24.1, map[string]int{"wk-1": 1, "wk-3": 0})
+		if b := strings.Join(check.Broken(), "\n"); !strings.Contains(b, "ran_cancelled: wk-1/0") || !strings.Contains(b, "ran_cancelled: wk-2/0") {
+			t.Errorf("not seen: %q", b)
+		}
+		w.Kill()
+		other.Kill()
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -37,6 +37,7 @@
 	mute      map[string]bool // hosts that get none out
 	conns     map[*conn]bool
 	copies    func(from, to string) time.Duration
+	watch     func(from string, p []byte)
 }
 
 type listener struct {
@@ -108,6 +109,12 @@
 // Write sends once the host gets round to it. What is lost on its way seems sent, and so does
 // what the network holds.
 func (c *conn) Write(p []byte) (int, error) {
+	c.net.mu.Lock()
+	watch := c.net.watch
+	c.net.mu.Unlock()
+	if watch != nil {
+		watch(c.local, p)
+	}
 	c.net.hold(c.local)
 	c.net.mu.Lock()
 	lost, copies := c.net.lost[[2]string{c.local, c.peer}], c.net.copies
@@ -161,6 +168,14 @@
 	n.copies = late
 }
 
+// Watch has somebody see whatever hosts send, at the moment at which they do so: what the network
+// then holds, delays or loses too.
+func (n *Net) Watch(see func(from string, p []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch = see
+}
+
 // Hold keeps what a host sends from now on over the connections that it has, and delivers it
 // after a while, also if the host has gone and is back meanwhile.
 func (n *Net) Hold(host string, d time.Duration) {
--- /dev/null
+++ b/internal/standin/valid.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"fmt"
+	"math"
+	"regexp"
+	"slices"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Site is what submissions are judged by: the machine types of the cloud, and the teams.
+type Site struct {
+	Types []wire.MachineType
+	Teams map[string]Limit
+}
+
+// The protocol's table of a submission's fields: what each must be, and whether it may be null.
+var fieldsOfJobs = []struct {
+	name string
+	ok   func(any) bool
+	null bool
+}{
+	{"uid", func(v any) bool { s, _ := v.(string); return jobID.MatchString(s) }, false},
+	{"breed", isText, false}, {"keeper", isText, false}, {"comb", isText, false},
+	{"shape", isOne("sweep", "gang", "service"), false}, {"rank", isOne("production", "high", "normal", "low"), false},
+	{"cells", func(v any) bool {
+		n, ok := toNumber(v)
+		return ok && n >= 1 && n <= wire.MaxTasks && n == math.Trunc(n)
+	}, false},
+	{"vcpus", isAmount, false}, {"accelerators", isAmount, false}, {"mem_gb", isAmount, false}, {"image_gb", isAmount, false},
+	{"expect_s", isAmount, false}, {"capping_s", isAmount, false}, {"seal_s", isAmount, false},
+	{"one_zone", isBool, false}, {"spread", isBool, false}, {"borrowed", isBool, false},
+	{"frames", func(v any) bool {
+		list, ok := v.([]any)
+		return ok && !slices.ContainsFunc(list, func(v any) bool { return !isText(v) })
+	}, true},
+	{"apiary", isText, true}, {"due_s", isAmount, true},
+}
+
+var jobID = regexp.MustCompile(`^wk-[0-9]+$`)
+
+func isText(v any) bool { _, ok := v.(string); return ok }
+func isBool(v any) bool { _, ok := v.(bool); return ok }
+
+func isOne(words ...string) func(any) bool {
+	return func(v any) bool { s, _ := v.(string); return slices.Contains(words, s) }
+}
+
+func isAmount(v any) bool { n, ok := toNumber(v); return ok && n >= 0 && !math.IsInf(n, 0) }
+
+func toNumber(v any) (float64, bool) {
+	switch n := v.(type) {
+	case uint64:
+		return float64(n), true
+	case int64:
+		return float64(n), true
+	case float64:
+		return n, !math.IsNaN(n)
+	case float32:
+		return float64(n), n == n
+	}
+	return 0, false
+}
+
+// Verdict reads a submission by the protocol's page alone: 400 for what is malformed, 422 for what
+// can never run, with the reason, and 0 for what must be accepted.
+func (s *Site) Verdict(body []byte) (status int, why string) {
+	var m map[string]any
+	if err := wire.Decode(body, &m); err != nil {
+		return 400, err.Error()
+	}
+	for _, f := range fieldsOfJobs {
+		switch v, there := m[f.name]; {
+		case v == nil && !f.null:
+			return 400, fmt.Sprintf("%s is missing", f.name)
+		case there && v != nil && !f.ok(v):
+			return 400, fmt.Sprintf("%s can't be %v", f.name, v)
+		}
+	}
+	amount := func(name string) float64 { n, _ := toNumber(m[name]); return n }
+	limit, known := s.Teams[m["keeper"].(string)]
+	if !known {
+		return 422, fmt.Sprintf("nobody knows team %v", m["keeper"])
+	}
+	cpus, gpus, memory, at := amount("vcpus"), amount("accelerators"), amount("mem_gb"), 1.0
+	frames, _ := m["frames"].([]any)
+	if !slices.ContainsFunc(s.Types, func(t wire.MachineType) bool {
+		zone, _ := m["apiary"].(string)
+		return (len(frames) == 0 || slices.Contains(frames, any(t.Name))) && (zone == "" || slices.Contains(t.Zones, zone)) &&
+			cpus <= t.CPUs+dust && gpus <= t.GPUs+dust && memory <= t.MemoryGB+dust
+	}) {
+		return 422, "a task fits no allowed type"
+	}
+	if m["shape"] != "sweep" {
+		at = amount("cells")
+	}
+	if limit.CPUs > 0 && at*cpus > limit.CPUs+dust || limit.GPUs > 0 && at*gpus > limit.GPUs+dust {
+		return 422, fmt.Sprintf("%v tasks at once are over the limit of %v", at, limit)
+	}
+	return 0, ""
+}
+
+// Answered tells what a user's submission was answered: one that must be refused must not be
+// accepted, and the other way round. What repeats the id of an accepted job may say anything.
+func (c *Checker) Answered(body []byte, status int) {
+	if len(c.Site.Types) == 0 {
+		return
+	}
+	must, why := c.Site.Verdict(body)
+	id := wire.SubmittedID(body)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if must == 0 {
+		if c.valid == nil {
+			c.valid = map[string]bool{}
+		}
+		c.valid[id] = true
+	}
+	switch accepted := status == 200 || status == 201; {
+	case accepted && must != 0 && !c.valid[id] && c.submitted[id] == nil:
+		c.breaks("accepted_wrong", "%s is answered %d: %s", id, status, why)
+	case must == 0 && (status == 400 || status == 422) && c.told[id] == "":
+		c.breaks("refused_valid", "%s is answered %d", id, status)
+	}
+}
--- a/internal/standin/yard.go
+++ b/internal/standin/yard.go
@@ -165,6 +165,28 @@
 	time.AfterFunc(y.GangPeer, func() { y.end(g, gangTorn) })
 }
 
+// stall tells that a machine with a task of a gang that runs hangs for a while. If that is longer
+// than the others take to notice, they exit, and what was not saved is lost; else the gang
+// ends later.
+func (y *Yard) stall(k gangKey, d time.Duration) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	g := y.gangs[k]
+	if g == nil || g.begun.IsZero() || g.over {
+		return
+	}
+	if d < y.GangPeer {
+		g.begun = g.begun.Add(d)
+		if g.timer.Stop() {
+			g.timer.Reset(max(0, g.run-y.progress(g)))
+		}
+		return
+	}
+	g.timer.Stop()
+	y.fallBack(g)
+	time.AfterFunc(y.GangPeer, func() { y.end(g, gangTorn) })
+}
+
 // fallBack keeps the last checkpoint of a gang that did not save.
 func (y *Yard) fallBack(g *gang) {
 	if every := wire.Seconds(g.job.CheckpointS); every > 0 && !g.begun.IsZero() {
--- a/parts_sim_test.go
+++ b/parts_sim_test.go
@@ -45,6 +45,21 @@
 	for _, b := range append(w.check.Broken(), w.account().Problems...) {
 		w.t.Error(b)
 	}
+	w.counted()
+}
+
+// counted tells what is counted and breaks no rule.
+func (w *world) counted() {
+	starts, launches := w.check.Late.After()
+	for _, s := range starts {
+		w.t.Log("started:", s)
+	}
+	for _, s := range launches {
+		w.t.Log("launched:", s)
+	}
+	for _, s := range w.check.Room.Partly() {
+		w.t.Log("partly", s)
+	}
 }
 
 // TestSurvivorTakesAllAndSpreads: two of three controllers die; the one that is left holds all
