--- a/cmd/amberdeal/emulate.go
+++ b/cmd/amberdeal/emulate.go
@@ -144,12 +144,19 @@
 	Notice time.Duration `help:"Before spot machines are taken."`
 	Times  float64       `help:"The usual boot time."`
 	Who    string        `help:"Which controller."`
+	Hang   time.Duration `help:"Of the machines of jobs that are cancelled."`
+
+	FromState bool `help:"Cut it from the state service."`
+	FromPeers bool `help:"Cut it from the other controllers."`
+	AtOnce    bool `help:"Of transactions only the answer is lost."`
+	ForNext   bool `help:"Copies are kept for the next leader."`
 }
 
 // Run stages a fault.
 func (f faultStageCmd) Run() error {
 	body, err := json.Marshal(world.Fault{Kind: f.Kind, For: f.For, From: f.From, To: f.To, Mode: f.Mode, OneWay: f.OneWay, Delay: f.Delay, Share: f.Share,
-		Count: f.Count, Zone: f.Zone, Notice: f.Notice, Times: f.Times, Who: f.Who})
+		Count: f.Count, Zone: f.Zone, Notice: f.Notice, Times: f.Times, Who: f.Who, Hang: f.Hang, FromState: f.FromState, FromPeers: f.FromPeers,
+		AtOnce: f.AtOnce, ForNext: f.ForNext})
 	if err != nil {
 		return err
 	}
--- a/internal/standin/deaf.go
+++ b/internal/standin/deaf.go
@@ -32,11 +32,44 @@
 }
 
 func (w *Worker) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if w.isMute() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	conn, err := w.net.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	return &earOut{conn, ear{w: w}}, nil
+	c := &earOut{conn, ear{w: w}}
+	w.mu.Lock()
+	w.out[c] = true
+	w.mu.Unlock()
+	return c, nil
+}
+
+// Mute has a machine reach no controller, or ends that: what it opens leads nowhere, and what
+// was open is gone. Calls to it get through. Faults that meet each count.
+func (w *Worker) Mute(mute bool) {
+	w.mu.Lock()
+	var gone []*earOut
+	if mute {
+		w.mute++
+		for c := range w.out {
+			gone = append(gone, c)
+		}
+	} else {
+		w.mute--
+	}
+	w.mu.Unlock()
+	for _, c := range gone {
+		c.Close()
+	}
+}
+
+func (w *Worker) isMute() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.mute > 0
 }
 
 // ear is a machine's end of a connection, on which what comes while it is deaf is lost, with all
@@ -61,6 +94,13 @@
 	ear
 }
 
+func (e *earOut) Close() error {
+	e.w.mu.Lock()
+	delete(e.w.out, e)
+	e.w.mu.Unlock()
+	return e.Conn.Close()
+}
+
 func (e *earOut) Read(p []byte) (int, error) { return e.read(e.Conn, p) }
 
 type earIn struct {
@@ -71,8 +111,8 @@
 func (e *earIn) Read(p []byte) (int, error) { return e.read(e.Stream, p) }
 
 // Echo has copies of some of the workers' reports arrive again: from 2 s to well over a lease
-// later, at the same controller or another, also when their machine is gone. Nobody reads the
-// answer.
+// later, at the same controller or another, also when their machine is gone; or once a new leader
+// has acted, there. Nobody reads the answer.
 type Echo struct {
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
 	Nodes []string // addresses of the controllers
@@ -81,14 +121,60 @@
 
 	mu    sync.Mutex
 	share float64
+	next  bool // copies are kept for the next leader
 	came  int
+	term  uint64 // of the last leader that acted
+	kept  []keptReport
+}
+
+// keptReport is a copy of a report whose worker had seen a term.
+type keptReport struct {
+	body []byte
+	term uint64
+}
+
+// mostKept bounds the copies that are kept, the newest of them.
+const mostKept = 2000
+
+// ForNext sets of which share of the reports a copy is kept from now on until a new leader has
+// acted.
+func (e *Echo) ForNext(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.share, e.next = share, share > 0
 }
 
+// acts tells that a worker has taken an answer of a controller with a term. The first of a new
+// leader has the copies of reports from before come to it.
+func (e *Echo) acts(at string, term uint64) {
+	if e == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if term <= e.term {
+		return
+	}
+	e.term = term
+	var rest []keptReport
+	for _, k := range e.kept {
+		if k.term >= term {
+			rest = append(rest, k)
+			continue
+		}
+		e.deliver(at, k.body, time.Duration(e.Rand.Int64N(int64(nextWithin))))
+	}
+	e.kept = rest
+}
+
+// nextWithin is how soon copies that were kept come to the next leader.
+const nextWithin = 500 * time.Millisecond
+
 // Share sets of which share of the reports a copy is to arrive from now on.
 func (e *Echo) Share(share float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.share = share
+	e.share, e.next = share, false
 }
 
 // Came tells how many copies were delivered.
@@ -99,7 +185,7 @@
 }
 
 // sent takes in a report that goes to a controller.
-func (e *Echo) sent(to string, body []byte) {
+func (e *Echo) sent(to string, body []byte, term uint64) {
 	if e == nil {
 		return
 	}
@@ -108,11 +194,21 @@
 	if e.share <= 0 || e.Rand.Float64() >= e.share {
 		return
 	}
+	if e.next {
+		e.kept = append(e.kept, keptReport{body, term})
+		e.kept = e.kept[max(0, len(e.kept)-mostKept):]
+		return
+	}
 	const least = 2 * time.Second
 	late := least + time.Duration(e.Rand.Int64N(int64(max(e.Most-least, time.Second))))
 	if e.Rand.IntN(2) == 0 {
 		to = e.Nodes[e.Rand.IntN(len(e.Nodes))]
 	}
+	e.deliver(to, body, late)
+}
+
+// deliver has a copy arrive a while later.
+func (e *Echo) deliver(to string, body []byte, late time.Duration) {
 	time.AfterFunc(late, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 		defer cancel()
--- a/internal/standin/launches.go
+++ b/internal/standin/launches.go
@@ -103,7 +103,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if told, ok := l.cancelled[task.Job]; ok {
-		l.after = append(l.after, fmt.Sprintf("%v, %v after its user was told, launched %v after", task, now.Sub(told), l.newest[task].Sub(told)))
+		text := fmt.Sprintf("%v, %v after its user was told", task, now.Sub(told))
+		if at := l.newest[task]; !at.IsZero() {
+			text += fmt.Sprintf(", launched %v after", at.Sub(told))
+		}
+		l.after = append(l.after, text)
 	}
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -59,6 +59,9 @@
 	// Later is the share of the transactions that get no answer and are carried out 2 to 12 s
 	// later, after newer ones.
 	Later float64
+	// Unheard is the share of the transactions that are carried out at once, and of which only
+	// the answer is lost.
+	Unheard float64
 	// Took, if it is set, is told the keys of each transaction that was carried out.
 	Took func(puts []string)
 	// Meets, if it is set, says what becomes of a transaction with such values.
@@ -79,6 +82,7 @@
 	rps, wps *rate.Limiter
 
 	late, lateTaken int // transactions that were put off, and those of them that were taken
+	unheard         int // that were taken at once without an answer
 }
 
 // Fate is what becomes of a transaction.
@@ -438,6 +442,12 @@
 			if s.Later > 0 && s.Rand.Float64() < s.Later {
 				return s.putOff(t)
 			}
+			if s.Unheard > 0 && s.Rand.Float64() < s.Unheard {
+				if status, _ := s.commit(t); status == 200 {
+					s.unheard++
+				}
+				return silence, nil
+			}
 			if s.Rand.Float64() < s.Lossy {
 				return s.lose(t)
 			}
@@ -512,6 +522,13 @@
 	return s.late, s.lateTaken
 }
 
+// TakenUnheard tells how many transactions have changed something at once and got no answer.
+func (s *Store) TakenUnheard() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unheard
+}
+
 func (s *Store) list(prefix, after string, limit int) wire.ItemList {
 	out := wire.ItemList{Items: []wire.Item{}, Revision: s.revision}
 	most := cmp.Or(s.Limits.PageItems, wire.MaxItems)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -41,6 +41,8 @@
 	hangs    time.Time // until when it does nothing
 	waiting  []func()  // what it does then, in order
 	deaf     int       // faults by which it hears nothing
+	mute     int       // faults by which it reaches no controller
+	out      map[*earOut]bool
 	tasks    map[string]*running
 	images   map[string]*image
 	paced    time.Time // up to when what was fetched is counted
@@ -70,7 +72,7 @@
 func NewWorker(c WorkerConfig) *Worker {
 	w := &Worker{id: c.ID, addr: c.Addr, typ: c.Type, zone: c.Zone, spot: c.Spot, spec: c.Spec, net: c.Net, down: c.Down, nodes: c.Controllers, yard: c.Yard,
 		lease: c.Lease, every: c.Report, late: c.Late, slow: cmp.Or(c.Slow, 1), pull: cmp.Or(c.Pull, 1), shared: c.Shared, echo: c.Echo, session: 1, answered: time.Now(),
-		tasks: map[string]*running{}, images: map[string]*image{}, soon: make(chan struct{}, 1)}
+		tasks: map[string]*running{}, out: map[*earOut]bool{}, images: map[string]*image{}, soon: make(chan struct{}, 1)}
 	if w.late == nil {
 		w.late = func() time.Duration { return 0 }
 	}
@@ -241,7 +243,7 @@
 		body, node := wire.Encode(w.report()), w.node
 		w.mu.Unlock()
 		ctx, cancel := context.WithTimeout(w.ctx, answerWait)
-		w.echo.sent(w.nodes[node], body)
+		w.echo.sent(w.nodes[node], body, w.seen())
 		resp, err := w.caller.Call(ctx, w.nodes[node], "POST", wire.PathReport, body)
 		cancel()
 		w.resume()
@@ -256,6 +258,7 @@
 			if a.Term >= w.term && session == w.session && w.ctx.Err() == nil {
 				w.raise(a.Term)
 				w.answered = sent
+				w.echo.acts(w.nodes[node], a.Term)
 				w.execute(a.Commands)
 			}
 		default:
@@ -287,6 +290,13 @@
 	return time.Second
 }
 
+// seen is the highest term that the worker has seen.
+func (w *Worker) seen() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.term
+}
+
 func (w *Worker) raise(term uint64) {
 	if term > w.term {
 		w.term = term
