Door: a repeat is known by its id whatever else is in its body; what can run nowhere is refused

A submission of an accepted job that came again with more bytes behind it, cut off, or with a field twice was answered 400: its id was looked for in the body as a whole. Fields of nearly the same name (UID, VCPUS) were taken for those of the protocol, so that a job that lacks one was accepted. A list of no types, a zone of no name and a type that is in no zone allowed all; a gang that may have half of its tasks in the only zone there is was accepted and waited for ever. Limits were compared without the grain of dust that the choice grants.

Of TestDecodeJob's values none is gone; there are more. The machine type of the door's tests names a zone now: one in none fits nothing.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
+	"slices"
 	"time"
 
 	"amberdeal.example/amberdeal/internal/archive"
@@ -275,24 +277,33 @@
 	if j.Shape != wire.Array {
 		n = float64(j.Tasks)
 	}
-	if team.CPUsMax > 0 && j.CPUs*n > team.CPUsMax || team.GPUsMax > 0 && j.GPUs*n > team.GPUsMax {
+	limit := sched.Amount{CPUs: math.Inf(1), GPUs: math.Inf(1), MemoryGB: math.Inf(1)}
+	if team.CPUsMax > 0 {
+		limit.CPUs = team.CPUsMax
+	}
+	if team.GPUsMax > 0 {
+		limit.GPUs = team.GPUsMax
+	}
+	if !limit.Fits(sched.Amount{}.Plus(sched.Of(j), n)) {
 		return "over the team's limit"
 	}
+	zones := make(map[string]bool) // in which a task may run
 	for _, t := range types {
 		size := sched.Amount{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
-		if size.Fits(sched.Of(j)) && allows(j.Types, t.Name) && (j.Zone == "" || allows(t.Zones, j.Zone)) {
-			return ""
+		if !size.Fits(sched.Of(j)) || len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
+			continue
 		}
-	}
-	return "no allowed machine type is large enough"
-}
-
-// allows reports whether a list names a thing; an empty list allows all.
-func allows(list []string, name string) bool {
-	for _, n := range list {
-		if n == name {
-			return true
+		for _, zone := range t.Zones {
+			if j.Zone == "" || j.Zone == zone {
+				zones[zone] = true
+			}
 		}
 	}
-	return len(list) == 0
+	switch {
+	case len(zones) == 0:
+		return "no allowed machine type is large enough"
+	case j.Shape == wire.Gang && j.Spread && j.Tasks > 1 && (j.OneZone || len(zones) == 1):
+		return "all its tasks would have to be in one zone, which may hold half of them"
+	}
+	return ""
 }
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -35,7 +35,9 @@
 	v.Blocks = r
 	f := store.NewFollower(c, v, log)
 	o := &office{store: s, Door: &Door{Teams: []config.Team{{Name: "red"}}, Intake: NewIntake(c, name, 8192), Closer: NewCloser(c, v, f, 12), View: v, Follow: f,
-		History: r, Log: log, Backlog: 100, Types: func() []wire.MachineType { return []wire.MachineType{{Name: "g", CPUs: 8, GPUs: 8, MemoryGB: 64}} },
+		History: r, Log: log, Backlog: 100, Types: func() []wire.MachineType {
+			return []wire.MachineType{{Name: "g", CPUs: 8, GPUs: 8, MemoryGB: 64, Zones: []string{"a"}}}
+		},
 		Open: func() bool { return true }, Accepted: func() {}}}
 	follow, stall := context.WithCancel(ctx)
 	o.stall, o.hold = stall, func(d time.Duration) { net.Hold(name, d) }
@@ -318,6 +320,54 @@
 	})
 }
 
+// TestNeverRuns: a job is refused for ever where no task of it, or of a gang or service not all of them,
+// could ever run, and no other is.
+func TestNeverRuns(t *testing.T) {
+	d := &Door{Teams: []config.Team{{Name: "red"}, {Name: "blue", CPUsMax: 12, GPUsMax: 0.3}, {Name: "green", GPUsMax: 4}}}
+	types := []wire.MachineType{{Name: "small", CPUs: 4, GPUs: 2, MemoryGB: 16, Zones: []string{"a", "b"}}, {Name: "large", CPUs: 8, MemoryGB: 64, Zones: []string{"b"}},
+		{Name: "nowhere", CPUs: 64, GPUs: 8, MemoryGB: 512}}
+	const limit, size, zone = "over the team's limit", "no allowed machine type is large enough", "all its tasks would have to be in one zone, which may hold half of them"
+	for name, x := range map[string]struct {
+		change func(j *wire.Job)
+		why    string
+	}{
+		"as it is":                         {func(j *wire.Job) {}, ""},
+		"unknown team":                     {func(j *wire.Job) { j.Team = "black" }, "unknown team"},
+		"too many CPUs":                    {func(j *wire.Job) { j.CPUs = 9 }, size},
+		"too much memory":                  {func(j *wire.Job) { j.MemoryGB = 65 }, size},
+		"GPUs of one, CPUs of another":     {func(j *wire.Job) { j.CPUs = 5 }, size},
+		"as large as a type":               {func(j *wire.Job) { j.CPUs, j.GPUs, j.MemoryGB = 4, 2, 16 }, ""},
+		"unknown type":                     {func(j *wire.Job) { j.Types = []string{"huge"} }, size},
+		"a type too small":                 {func(j *wire.Job) { j.Types, j.MemoryGB = []string{"small"}, 17 }, size},
+		"of two types one":                 {func(j *wire.Job) { j.Types = []string{"huge", "small"} }, ""},
+		"unknown zone":                     {func(j *wire.Job) { j.Zone = "c" }, size},
+		"a type of another zone":           {func(j *wire.Job) { j.Types, j.GPUs, j.Zone = []string{"large"}, 0, "a" }, size},
+		"a type of no zone":                {func(j *wire.Job) { j.Types = []string{"nowhere"} }, size},
+		"a type of no zone, in one":        {func(j *wire.Job) { j.Types, j.Zone = []string{"nowhere"}, "a" }, size},
+		"an array over the limit in all":   {func(j *wire.Job) { j.Team, j.Tasks = "green", 100 }, ""},
+		"a task over the limit":            {func(j *wire.Job) { j.Team, j.GPUs = "blue", 0.4 }, limit},
+		"a gang as large as the limit":     {func(j *wire.Job) { j.Team, j.Shape, j.Tasks, j.CPUs, j.GPUs = "blue", wire.Gang, 3, 4, 0.1 }, ""},
+		"a gang over the limit":            {func(j *wire.Job) { j.Team, j.Shape, j.Tasks = "green", wire.Gang, 5 }, limit},
+		"a service over the limit of CPUs": {func(j *wire.Job) { j.Team, j.Shape, j.Tasks, j.CPUs, j.GPUs = "blue", wire.Service, 5, 3, 0 }, limit},
+		"a gang spread over two zones":     {func(j *wire.Job) { j.Shape, j.Spread, j.Tasks = wire.Gang, true, 5 }, ""},
+		"a gang spread in one zone":        {func(j *wire.Job) { j.Shape, j.Spread, j.Tasks, j.Zone = wire.Gang, true, 2, "a" }, zone},
+		"a gang spread on a type of one": {func(j *wire.Job) {
+			j.Shape, j.Spread, j.Tasks, j.GPUs, j.Types = wire.Gang, true, 2, 0, []string{"large"}
+		}, zone},
+		"a gang spread and in one zone":   {func(j *wire.Job) { j.Shape, j.Spread, j.OneZone, j.Tasks = wire.Gang, true, true, 2 }, zone},
+		"a gang of one, spread in a zone": {func(j *wire.Job) { j.Shape, j.Spread, j.OneZone, j.Zone = wire.Gang, true, true, "b" }, ""},
+		"an array spread in one zone":     {func(j *wire.Job) { j.Spread, j.Tasks, j.Zone = true, 5, "a" }, ""}, // half of it at a time
+		"half a service in one zone":      {func(j *wire.Job) { j.Shape, j.Spread, j.Tasks, j.Zone = wire.Service, true, 2, "a" }, ""},
+		"a gang in one zone of two":       {func(j *wire.Job) { j.Shape, j.OneZone, j.Tasks = wire.Gang, true, 50 }, ""},
+	} {
+		j := job("wk-1")
+		x.change(j)
+		if why := d.never(j, types); why != x.why {
+			t.Errorf("%s: %q", name, why)
+		}
+	}
+}
+
 // TestAnotherBody: a submission that comes again with a body that would be refused is that of
 // the accepted job, be it accepted elsewhere just now or folded long ago, and so is a
 // cancellation that comes again.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -21,6 +21,8 @@
 		MaxArrayElements: 1 << 17,
 		MaxMapPairs:      1 << 17,
 		IndefLength:      cbor.IndefLengthAllowed,
+		// A field of nearly the same name is one that a receiver doesn't know.
+		FieldNameMatching: cbor.FieldNameMatchingCaseSensitive,
 	}.DecMode())
 	encoder = must(cbor.CanonicalEncOptions().EncMode())
 )
@@ -49,6 +51,18 @@
 	return decoder.Unmarshal(body, v)
 }
 
+// fields gives what follows the head of a CBOR map, or nothing.
+func fields(body []byte) []byte {
+	if len(body) == 0 || body[0]>>5 != 5 {
+		return nil
+	}
+	more := 0 // bytes of the head beyond the first
+	if info := body[0] & 31; info >= 24 && info <= 27 {
+		more = 1 << (info - 24)
+	}
+	return body[min(1+more, len(body)):]
+}
+
 // DecodeValue reads any CBOR value, such as a stored one, into v.
 func DecodeValue(body []byte, v any) error { return decoder.Unmarshal(body, v) }
 
--- a/wire/user.go
+++ b/wire/user.go
@@ -128,15 +128,25 @@
 	Work        *string   `cbor:"work"`
 }
 
-// SubmittedID gives the id in a submission of which the rest may not be understood, or nothing.
+// SubmittedID gives the id in a submission of which the rest may not be understood, or nothing: it
+// looks at one field after the other, as far as it gets.
 func SubmittedID(body []byte) string {
-	var s struct {
-		ID string `cbor:"uid"`
-	}
-	if Decode(body, &s) != nil || !ValidJobID(s.ID) {
-		return ""
+	rest := fields(body)
+	for len(rest) > 0 {
+		var key, value Raw
+		var name, id string
+		var err error
+		if rest, err = decoder.UnmarshalFirst(rest, &key); err != nil {
+			return ""
+		}
+		if rest, err = decoder.UnmarshalFirst(rest, &value); err != nil {
+			return ""
+		}
+		if DecodeValue(key, &name) == nil && name == "uid" && DecodeValue(value, &id) == nil && ValidJobID(id) {
+			return id
+		}
 	}
-	return s.ID
+	return ""
 }
 
 // DecodeJob reads and checks a submission. The error names the first fields
@@ -170,8 +180,11 @@
 	if s.Work != nil && len(*s.Work) > MaxWork {
 		errs = append(errs, fmt.Errorf("field work: more than %d bytes", MaxWork))
 	}
-	if s.Types != nil && len(*s.Types) > 64 {
-		errs = append(errs, errors.New("field frames: more than 64 types"))
+	if s.Types != nil && (len(*s.Types) == 0 || len(*s.Types) > 64) {
+		errs = append(errs, errors.New("field frames: must be null, for any, or name 1 to 64 types"))
+	}
+	if s.Zone != nil {
+		errs = append(errs, textField("apiary", s.Zone))
 	}
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -16,14 +17,24 @@
 	if j, err := DecodeJob(Encode(good())); err != nil || j.Tasks != 16 || j.GPUs != 1 || j.Zone != "" {
 		t.Fatalf("a good job: %+v, %v", j, err)
 	}
-	for field, value := range map[string]any{
-		"uid": "job-1", "breed": 7, "keeper": "", "shape": "heap", "rank": "top", "cells": MaxTasks + 1, "vcpus": -1.0,
-		"accelerators": math.NaN(), "mem_gb": math.Inf(1), "comb": nil, "frames": "g8", "apiary": 3, "one_zone": nil, "expect_s": "1", "due_s": -1.0,
+	amounts := []any{nil, "1", -1.0, -1, math.NaN(), math.Inf(1), math.Inf(-1), 1e300, uint64(math.MaxUint64), true, []float64{1}, map[string]any{}}
+	flags := []any{nil, 0, 1, "true", 1.0, []bool{true}}
+	texts := []any{nil, "", 7, true, []byte("img"), []string{"x"}, strings.Repeat("x", 201)}
+	for field, values := range map[string][]any{
+		"uid": append(texts, "job-1", "wk-", "wk-1x", "WK-1", " wk-1", "wk--1", "wk-1/0", "wk-"+strings.Repeat("1", 62)), "breed": texts, "keeper": texts, "comb": texts,
+		"shape": append(texts, "heap", "Gang"), "rank": append(texts, "top", "HIGH"),
+		"cells": {nil, 0, -1, MaxTasks + 1, uint64(math.MaxUint64), 1e300, 1.5, 16.0, "16", true, []int{16}, math.NaN()},
+		"vcpus": amounts, "accelerators": amounts, "mem_gb": amounts, "image_gb": amounts, "expect_s": amounts, "capping_s": amounts, "seal_s": amounts,
+		"due_s":  amounts[1:],
+		"frames": {"g8", 8, []string{}, []any{"g8", 8}, map[string]any{"g8": true}, make([]string, 65)}, "apiary": {3, "", []string{"a"}, true},
+		"one_zone": flags, "spread": flags, "borrowed": flags,
 	} {
-		m := good()
-		m[field] = value
-		if _, err := DecodeJob(Encode(m)); err == nil {
-			t.Errorf("%s = %v was accepted", field, value)
+		for _, value := range values {
+			m := good()
+			m[field] = value
+			if _, err := DecodeJob(Encode(m)); err == nil {
+				t.Errorf("%s = %v was accepted", field, value)
+			}
 		}
 	}
 	for field := range good() {
@@ -31,6 +42,10 @@
 		delete(m, field)
 		_, err := DecodeJob(Encode(m))
 		optional := field == "frames" || field == "apiary" || field == "due_s"
+		m[strings.ToUpper(field)] = good()[field] // which is another
+		if _, err := DecodeJob(Encode(m)); (err == nil) != optional {
+			t.Errorf("with %s in capitals: %v", field, err)
+		}
 		if (err == nil) != optional {
 			t.Errorf("without %s: %v", field, err)
 		}
@@ -45,6 +60,49 @@
 	}
 }
 
+// TestNamesOfFields: a field of nearly the same name is another, which a receiver doesn't know.
+func TestNamesOfFields(t *testing.T) {
+	var s JobStatus
+	if err := Decode(Encode(map[string]any{"uid": "wk-1", "Stage": "done"}), &s); err != nil || s.ID != "wk-1" || s.Stage != "" {
+		t.Errorf("%+v, %v", s, err)
+	}
+}
+
+// TestSubmittedID: whatever else a submission says, or leaves off, which job it is of is found in it.
+func TestSubmittedID(t *testing.T) {
+	id := Encode(map[string]any{"uid": "wk-1"})
+	whole := Encode(map[string]any{"uid": "wk-1", "cells": -1, "breed": []any{nil, math.NaN()}, "a": map[string]any{"uid": "wk-2"}})
+	large := map[string]any{"uid": "wk-1"}
+	for i := range 300 {
+		large[strings.Repeat("x", i+1)] = i
+	}
+	for name, x := range map[string]struct {
+		body []byte
+		id   string
+	}{
+		"alone":           {id, "wk-1"},
+		"others wrong":    {whole, "wk-1"},
+		"long":            {Encode(large), "wk-1"},
+		"more behind":     {append(slices.Clone(whole), 0xff, 0), "wk-1"},
+		"cut off":         {whole[:len(whole)-3], "wk-1"},
+		"no end":          {append([]byte{0xbf}, whole[1:]...), "wk-1"},
+		"twice":           {append([]byte{0xa2}, append(slices.Clone(id[1:]), id[1:]...)...), "wk-1"},
+		"after another":   {append([]byte{0xa2, 0x63, 'u', 'i', 'd', 0x07}, id[1:]...), "wk-1"},
+		"within another":  {Encode(map[string]any{"a": map[string]any{"uid": "wk-1"}}), ""},
+		"a list":          {Encode([]string{"uid", "wk-1"}), ""},
+		"a text":          {[]byte("uid wk-1"), ""},
+		"of a wrong form": {Encode(map[string]any{"uid": "wk-x"}), ""},
+		"null":            {Encode(map[string]any{"uid": nil}), ""},
+		"of another name": {Encode(map[string]any{"UID": "wk-1"}), ""},
+		"empty":           {nil, ""},
+		"a head only":     {[]byte{0xbb, 0}, ""},
+	} {
+		if got := SubmittedID(x.body); got != x.id {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
+
 // FuzzDecode feeds every decoder of outside input.
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(map[string]any{"hive": "n-1", "flight": 1, "cells": []any{map[string]any{"cell": "wk-1/0", "try": 2, "stage": "running"}}}))
@@ -62,6 +120,9 @@
 				}
 			}
 		}
+		if j, err := DecodeJob(b); err == nil && SubmittedID(b) != j.ID {
+			t.Errorf("%s is submitted as %q", j.ID, SubmittedID(b))
+		}
 		_, _ = DecodeTypes(b)
 	})
 }
