--- /dev/null
+++ b/internal/load/judge_test.go
@@ -0,0 +1,97 @@
+package load
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestJudgeSeesOlderAnswers: each answer that is older than one that was given before its question
+// is seen among hundreds that are asked at the same time, and nothing is where answers only cross.
+func TestJudgeSeesOlderAnswers(t *testing.T) {
+	type told struct {
+		how    string // ask, submit or cancel
+		status int
+		stage  wire.Stage
+	}
+	calls := func(j *Judge) func(x told, call int64) {
+		return func(x told, call int64) {
+			map[string]func(string, int64, int, wire.Stage){"ask": j.Asked, "submit": j.Submitted, "cancel": j.Cancelled}[x.how]("wk-1", call, x.status, x.stage)
+		}
+	}
+	accepted, ended := told{"submit", 201, wire.Pending}, told{"cancel", 200, wire.Cancelled}
+	for name, x := range map[string]struct {
+		then []told // in order
+		last told   // asked at the very end
+		fine bool
+	}{
+		"known":                   {[]told{accepted}, told{"ask", 200, wire.Running}, true},
+		"forgotten":               {[]told{accepted}, told{"ask", 404, ""}, false},
+		"refused again":           {[]told{accepted}, told{"submit", 422, ""}, false},
+		"cancelled":               {[]told{accepted, ended}, told{"submit", 200, wire.Cancelled}, true},
+		"back":                    {[]told{accepted, ended}, told{"submit", 200, wire.Pending}, false},
+		"running again":           {[]told{accepted, ended}, told{"ask", 200, wire.Running}, false},
+		"done after cancelled":    {[]told{accepted, ended}, told{"ask", 200, wire.Done}, false},
+		"not to be cancelled":     {[]told{accepted, ended}, told{"cancel", 404, ""}, false},
+		"cancelled after done":    {[]told{accepted, {"ask", 200, wire.Done}}, ended, false},
+		"cancelled by nobody":     {[]told{accepted}, told{"ask", 200, wire.Cancelled}, false},
+		"cancelled in vain":       {[]told{accepted, {"cancel", 0, ""}}, told{"ask", 200, wire.Cancelled}, true},
+		"submitted by nobody":     {[]told{{"ask", 404, ""}}, told{"ask", 200, wire.Pending}, false},
+		"submitted in vain":       {[]told{{"submit", 503, ""}}, told{"ask", 200, wire.Pending}, true},
+		"refused, then submitted": {[]told{{"submit", 400, ""}}, accepted, true},
+	} {
+		j := &Judge{}
+		tell := calls(j)
+		var open []int64
+		for _, y := range x.then {
+			for range 200 {
+				open = append(open, j.Call()) // answered only at the end
+			}
+			tell(y, j.Call())
+		}
+		call := j.Call()
+		for i, c := range open { // they may tell either
+			if x.then[0] == accepted {
+				tell(told{"submit", 200, []wire.Stage{wire.Pending, wire.Running}[i%2]}, c)
+			}
+		}
+		tell(x.last, call)
+		if got := j.Broken(); (len(got) == 0) != x.fine {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
+// TestTellingTellsAll: what is left out changes no verdict.
+func TestTellingTellsAll(t *testing.T) {
+	luck, bad := rand.New(rand.NewPCG(1, 30)), 0
+	for range 4000 {
+		var ops []porcupine.Operation
+		for i := range 3 + luck.IntN(7) {
+			call := luck.Int64N(60)
+			out := answer{known: luck.IntN(9) > 0, stage: []wire.Stage{wire.Pending, wire.Pending, wire.Done, wire.Cancelled}[min(int(call)/17, 3)]}
+			op := opKind(luck.IntN(3))
+			if out.absent = out.known && op != opSubmit && call < 9; out.absent {
+				out.stage = ""
+			}
+			back := call + 1 + luck.Int64N(25)
+			if !out.known {
+				back = 1 << 61
+			}
+			ops = append(ops, porcupine.Operation{ClientId: i, Input: op, Call: 2 * call, Output: out, Return: 2*back + 1})
+		}
+		all, few := porcupine.CheckOperations(stages, ops), porcupine.CheckOperations(stages, telling(ops))
+		if all != few {
+			t.Fatalf("%v of all, %v of those that tell: %v", all, few, ops)
+		}
+		if !all {
+			bad++
+		}
+	}
+	if bad < 400 || bad > 3600 {
+		t.Errorf("%d of 4000 have no order", bad)
+	}
+}
