Rounds: nothing is launched on a machine that only answers calls

A machine that opens no connection any more answers calls, and each of them made it fresh: it got work again and again that was lost with its lease. One that has answered calls for longer than a lost report takes, while none came, is neither room nor booting.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,6 +107,7 @@
 	Since                time.Time
 	UpSince              time.Time
 	Heard                time.Time // last new report
+	called               time.Time // first call that was answered since it last reported by itself
 	Answered             time.Time // last answer that it may have taken
 	Notice               time.Time // when the cloud takes it away; zero: no notice
 	Draining             string    // why nothing is placed here any more
@@ -164,6 +165,12 @@
 	return m.unheeded < deafSigns || now.Sub(m.unheededAt) > f.over()+margin
 }
 
+// Mute reports whether a machine has answered calls for so long while no report of it came: what it
+// runs ends with its lease, which calls don't renew.
+func (m *Machine) Mute(now time.Time, wait time.Duration) bool {
+	return !m.called.IsZero() && now.Sub(m.called) > wait
+}
+
 // over is how long after its last answer a machine's lease has surely run out.
 func (f *Fleet) over() time.Duration { return time.Duration(float64(f.lease)*(1+drift)) + margin }
 
@@ -447,6 +454,11 @@
 		m.met = true
 		m.answered(now)
 	}
+	if own {
+		m.called = time.Time{}
+	} else if m.called.IsZero() {
+		m.called = now
+	}
 	switch {
 	case !own:
 		m.unheeded = 0 // a call was answered
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -125,12 +125,14 @@
 	direct  time.Duration // and up to which the launch goes straight to it
 	overdue time.Duration // age from which on a machine is asked by a direct call
 	silence time.Duration // age from which on a machine is given up
+	mute    time.Duration // for which one that answers calls may send no report
 }
 
 func timesOf(c *config.Config) times {
 	late := c.Workers.Report * 5 / 4
 	return times{fresh: late + 2250*time.Millisecond, direct: late + 1250*time.Millisecond,
-		overdue: c.Workers.Report * 7 / 5, silence: c.Silence()}
+		overdue: c.Workers.Report * 7 / 5, silence: c.Silence(),
+		mute: late + 5*time.Second} // a report may be lost, which takes 4 s and another
 }
 
 // answers bounds how long after its last confirmed renewal a holder answers at all. Siblings
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -133,7 +133,7 @@
 	s := &sched.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: size(t)}
 	serves := m.Draining == "" && !m.Releasing && m.Notice.IsZero()
 	heard := m.Up && now.Sub(m.Heard) < h.times.fresh
-	serves = serves && h.fleet.Heeds(now, m)
+	serves = serves && h.fleet.Heeds(now, m) && !m.Mute(now, h.times.mute)
 	s.Usable = serves && heard && m.AtTerm
 	// One that has just come up is usable once it has reported at the term: as
 	// good as booting, or another would be rented in its stead.
--- a/sim_test.go
+++ b/sim_test.go
@@ -26,17 +26,18 @@
 
 // world is three controllers among stand-ins, on a fake clock, or as many as its count says.
 type world struct {
-	t     *testing.T
-	count int
-	net   *standin.Net
-	store *standin.Store
-	cloud *standin.Cloud
-	check *standin.Checker
-	rand  *rand.Rand
-	nodes []*node
-	group sync.WaitGroup
-	ctx   context.Context
-	stop  context.CancelFunc
+	t      *testing.T
+	count  int
+	net    *standin.Net
+	store  *standin.Store
+	cloud  *standin.Cloud
+	check  *standin.Checker
+	ground standin.Ground // that machines come up on, if it is not the checker itself
+	rand   *rand.Rand
+	nodes  []*node
+	group  sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
 	// tamper changes the settings of the controllers, to remove a guard.
 	tamper  func(*config.Config)
 	drawing sync.Mutex
@@ -103,7 +104,11 @@
 
 // machine starts machines that report so often and get direct calls so late.
 func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
-	names, yard := map[string]string{}, standin.NewYard(w.check, 20*time.Second, 3*time.Second)
+	ground := w.ground
+	if ground == nil {
+		ground = w.check
+	}
+	names, yard := map[string]string{}, standin.NewYard(ground, 20*time.Second, 3*time.Second)
 	for i := range w.count {
 		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
 	}
