--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -72,14 +73,30 @@
 // Share sets this controller's share of the changes, by whether anyone holds the fleet
 // and which part of it this controller does, from 0 to 1.
 func (c *Client) Share(held bool, mine float64) {
-	n := float64(c.shares)
-	part := 1 / n
+	part := 1 / float64(c.shares)
 	if held || mine > 0 {
-		part = 1/(2*n) + mine/2
+		part = shareOf(c.shares, mine)
 	}
 	setRate(c.writes, c.writeRPS*part)
 }
 
+// shareOf is the part of the changes of one of so many controllers, which holds a part of the
+// fleet.
+func shareOf(controllers int, mine float64) float64 { return 1/(2*float64(controllers)) + mine/2 }
+
+// HolderBurst is how many changes the holder of one of so many parts may surely make at once: what
+// is more is refused as long as the others spend theirs. A limit of 0 stands for none.
+func HolderBurst(writeRPS float64, controllers, parts int) int {
+	if writeRPS == 0 {
+		return math.MaxInt
+	}
+	return max(leastBurst, int(writeRPS*shareOf(controllers, 1/float64(parts))))
+}
+
+// leastBurst is what a round has to have room for: a slot of the ledger, one that is added or
+// dropped, and homes in which jobs end.
+const leastBurst = 4
+
 // Gap is the least time between two requests of one kind that may take a part
 // of this controller's share of the requests.
 func (c *Client) Gap(part float64) time.Duration {
@@ -244,14 +261,21 @@
 	return err
 }
 
+// spareFloor is the part of a controller's share that is left to what can wait, however much else
+// there is: it is to go on, if slowly, in a flood that takes all the rest for minutes.
+const spareFloor = 1. / 8
+
 // Spare waits until n changes can be made and half of this controller's share
-// is left to others: what can wait goes last.
+// is left to others: what can wait goes last, but not without an end.
 func (c *Client) Spare(ctx context.Context, n int) error {
-	for {
+	for begun := time.Now(); ; {
 		burst := float64(c.writes.Burst())
 		if need := min(float64(n)+burst/2, burst); c.writes.Tokens() >= need {
 			return nil
 		}
+		if time.Since(begun).Seconds()*float64(c.writes.Limit())*spareFloor >= float64(n) {
+			return nil
+		}
 		t := time.NewTimer(100 * time.Millisecond)
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/store/spare_test.go
@@ -0,0 +1,47 @@
+package store
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/transport"
+	"context"
+)
+
+// nowhere is a network on which nothing is reached.
+type nowhere struct{ transport.Network }
+
+func (nowhere) Dial(context.Context, string) (net.Conn, error) { return nil, transport.ErrNotSent }
+
+// TestSpareGoesOn: rounds take every change that a holder has, without a pause. What can wait
+// still gets its turn, for an eighth of the share; and at once where there is room.
+func TestSpareGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient(nowhere{}, "", 1000, 12, 3, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.Share(true, 1) // 8 a second
+		time.Sleep(2 * time.Second)
+		begun := time.Now()
+		if _ = c.Spare(t.Context(), 4); time.Since(begun) > 0 {
+			t.Errorf("it waited for %v though nobody else wants anything", time.Since(begun))
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			for c.writes.WaitN(ctx, 1) == nil {
+			}
+		}()
+		time.Sleep(2 * time.Second)
+		begun = time.Now()
+		for range 10 {
+			_ = c.Spare(ctx, 4)
+		}
+		if took := time.Since(begun); took < 39*time.Second || took > 42*time.Second { // 4 of one a second, with the time between two looks
+			t.Errorf("40 changes that can wait took %v", took)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
--- a/sim_test.go
+++ b/sim_test.go
@@ -1,6 +1,7 @@
 package amberdeal
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,7 +46,8 @@
 	dial   func(ctx context.Context, addr string) (net.Conn, error) // by which they reach controllers, if it is set
 	asking sync.WaitGroup
 	echo   *standin.Echo
-	over   time.Time // since when all troubles are; zero while nobody has said so
+	over   time.Time      // since when all troubles are; zero while nobody has said so
+	ground standin.Ground // on which the machines that come up are, the checker if it is not set
 }
 
 type node struct {
@@ -103,7 +105,7 @@
 
 // machine starts machines that report so often and get direct calls so late.
 func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
-	names, yard := map[string]string{}, standin.NewYard(w.check, 20*time.Second, 3*time.Second)
+	names, yard := map[string]string{}, standin.NewYard(cmp.Or[standin.Ground](w.ground, w.check), 20*time.Second, 3*time.Second)
 	for i := range w.count {
 		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
 	}
