--- a/sim_test.go
+++ b/sim_test.go
@@ -1,6 +1,7 @@
 package amberdeal
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -111,11 +112,7 @@
 
 // machine starts machines that report so often and get direct calls so late.
 func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
-	ground := w.ground
-	if ground == nil {
-		ground = w.check
-	}
-	names, yard := map[string]string{}, standin.NewYard(ground, 20*time.Second, 3*time.Second)
+	names, yard := map[string]string{}, standin.NewYard(cmp.Or[standin.Ground](w.ground, w.check), 20*time.Second, 3*time.Second)
 	for i := range w.count {
 		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
 	}
