--- a/internal/standin/deaf.go
+++ b/internal/standin/deaf.go
@@ -81,6 +81,8 @@
 
 	mu    sync.Mutex
 	share float64
+	keep  float64
+	kept  [][]byte
 	came  int
 }
 
@@ -91,6 +93,36 @@
 	e.share = share
 }
 
+// Keep sets of which share of the reports a copy is kept from now on, until Release.
+func (e *Echo) Keep(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.keep = share
+}
+
+// Release delivers what was kept to a controller, and tells how many copies came.
+func (e *Echo) Release(to string) (came int) {
+	e.mu.Lock()
+	kept := e.kept
+	e.kept = nil
+	e.mu.Unlock()
+	for _, body := range kept {
+		if e.deliver(to, body) {
+			came++
+		}
+	}
+	return came
+}
+
+// deliver has a copy arrive.
+func (e *Echo) deliver(to string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	caller := &transport.Caller{Limit: 8 << 20, Dial: e.Dial}
+	_, err := caller.Call(ctx, to, "POST", wire.PathReport, body)
+	return err == nil
+}
+
 // Came tells how many copies were delivered.
 func (e *Echo) Came() int {
 	e.mu.Lock()
@@ -105,6 +137,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.keep > 0 && e.Rand.Float64() < e.keep {
+		e.kept = append(e.kept, body)
+	}
 	if e.share <= 0 || e.Rand.Float64() >= e.share {
 		return
 	}
@@ -114,10 +149,7 @@
 		to = e.Nodes[e.Rand.IntN(len(e.Nodes))]
 	}
 	time.AfterFunc(late, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-		defer cancel()
-		caller := &transport.Caller{Limit: 8 << 20, Dial: e.Dial}
-		if _, err := caller.Call(ctx, to, "POST", wire.PathReport, body); err == nil {
+		if e.deliver(to, body) {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.came++
