Meetings: eight newer kinds of trouble in the ordered pairs, and meetings of three

Writes taken of which only the answer is lost, reports kept for the next leader, jobs cancelled at once, alone and with their machines hanging, or at their end, close looks, odd requests, machines that are up at once. Each is counted, and none may be 0.

--- a/asked_sim_test.go
+++ b/asked_sim_test.go
@@ -59,20 +59,6 @@
 	}
 }
 
-// body gives the submission again, as it was or another of the same name.
-func (c *customer) body() []byte {
-	other := *c.job
-	switch c.draw(c.luck, 6) {
-	case 0:
-		other.Tasks, other.Team, other.CPUs = 90, "nobody", 1000
-	case 1:
-		other.Image = strings.Repeat("large", 3000)
-	case 2:
-		other.Shape = "none"
-	}
-	return wire.Encode(&other)
-}
-
 func (c *customer) question(i int) { c.ask(i, 5*time.Second, "GET", c.path(), nil) }
 
 func (c *customer) repeat(i int) {
--- a/days_sim_test.go
+++ b/days_sim_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -217,20 +219,107 @@
 	}
 }
 
+// floor is what machines do as the checker sees it, and where and when, for troubles that come then.
+type floor struct {
+	*standin.Checker
+	mu    sync.Mutex
+	quick time.Time                 // until when machines are up at once
+	since map[string]time.Time      // when each of these came up
+	at    map[wire.TaskID]string    // the machine that each task was on last
+	ends  map[wire.TaskID]time.Time // when each ends, or has ended
+	close time.Time                 // until when users look closely
+
+	cancelled, looks, atOnce atomic.Int64 // jobs, questions, and tasks on machines that have just come up
+}
+
+func newFloor(c *standin.Checker) *floor {
+	return &floor{Checker: c, since: map[string]time.Time{}, at: map[wire.TaskID]string{}, ends: map[wire.TaskID]time.Time{}}
+}
+
+func (f *floor) up(machine string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); now.Before(f.quick) {
+		f.since[machine] = now
+	}
+}
+
+// quickly has machines be up at once for a while, and lookClosely has users look closely.
+func (f *floor) quickly(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quick = time.Now().Add(d)
+}
+
+func (f *floor) lookClosely(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.close = time.Now().Add(d)
+}
+
+// On and Done implement standin.Ground.
+func (f *floor) On(t wire.TaskID, machine, typ, zone string, spot bool) (time.Duration, bool) {
+	run, ok := f.Checker.On(t, machine, typ, zone, spot)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at[t], f.ends[t] = machine, time.Now().Add(run)
+	if time.Since(f.since[machine]) < 4*time.Second { // it had to fetch
+		f.atOnce.Add(1)
+	}
+	return run, ok
+}
+
+func (f *floor) Done(t wire.TaskID) {
+	f.Checker.Done(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ends[t] = time.Now()
+}
+
+// end tells when the last task of a job ends or has ended, as far as all have begun.
+func (f *floor) end(j *wire.Job) (last time.Time, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range j.Tasks {
+		at := f.ends[wire.TaskID{Job: j.ID, Index: i}]
+		if at.IsZero() {
+			return at, false
+		}
+		if last.Before(at) {
+			last = at
+		}
+	}
+	return last, true
+}
+
+// on tells whether a task of a job was on a machine last.
+func (f *floor) on(machine string, j *wire.Job) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range j.Tasks {
+		if f.at[wire.TaskID{Job: j.ID, Index: i}] == machine {
+			return true
+		}
+	}
+	return false
+}
+
 // client is the user of one job, or several who are about it at once. What they are told is judged.
 type client struct {
 	*world
 	job   *wire.Job
+	long  time.Duration // that one of its tasks runs, at the most
 	luck  *rand.Rand    // of its own: others draw at the same moment
 	asked atomic.Bool   // to cancel it
 	vain  *atomic.Int64 // counts the requests that got no answer, if it is set
+	known atomic.Int32  // what was told: 0 nothing, 1 that it is accepted, 2 that it is over
 }
 
 // client has a user come with a job, of which the tasks run so long, in turn.
 func (w *world) client(j *wire.Job, luck *rand.Rand, runs ...time.Duration) *client {
 	w.check.Submitted(j, runs[0])
 	w.check.Uneven(j.ID, runs...)
-	return &client{world: w, job: j, luck: luck}
+	return &client{world: w, job: j, long: slices.Max(runs), luck: luck}
 }
 
 // luckOf is of a seed and a job's own.
@@ -258,10 +347,44 @@
 	}
 	if c.check.Told(id, resp.Status, s.Stage, c.asked.Load()); resp.Status >= 400 {
 		c.t.Errorf("%s, which was %s, is answered %d at %d", id, before, resp.Status, i)
+		return resp.Status
+	}
+	if is := map[bool]int32{false: 1, true: 2}[s.Stage.Final()]; c.known.Swap(is) < is && c.looksClosely() {
+		c.group.Go(func() {
+			if c.closely(2); is == 1 && c.draw(c.luck, 6) == 0 {
+				c.until(c.cancel)
+			}
+		})
 	}
 	return resp.Status
 }
 
+func (w *world) looksClosely() bool {
+	w.floor.mu.Lock()
+	defer w.floor.mu.Unlock()
+	return time.Now().Before(w.floor.close)
+}
+
+// closely has users ask all controllers within milliseconds, some of them by submitting it again,
+// and that so many times.
+func (c *client) closely(times int) {
+	var all sync.WaitGroup
+	for range times {
+		for i := range c.count {
+			all.Go(func() {
+				time.Sleep(time.Duration(c.draw(c.luck, 5000)) * time.Microsecond)
+				if c.floor.looks.Add(1); c.draw(c.luck, 3) == 0 {
+					c.submit(i)
+				} else {
+					c.look(i)
+				}
+			})
+		}
+		time.Sleep(time.Duration(c.draw(c.luck, 200)) * time.Millisecond)
+	}
+	all.Wait()
+}
+
 func (c *client) path() string { return wire.PathJobs + "/" + c.job.ID }
 
 // submit, look and cancel ask one controller for that.
@@ -276,6 +399,20 @@
 	return c.ask(i, 5*time.Second, "POST", c.path()+"/"+wire.CancelWord, []byte{})
 }
 
+// body gives the submission again, as it was or another of the same name.
+func (c *client) body() []byte {
+	other := *c.job
+	switch c.draw(c.luck, 6) {
+	case 0:
+		other.Tasks, other.Team, other.CPUs = 90, "nobody", 1000
+	case 1:
+		other.Image = strings.Repeat("large", 3000)
+	case 2:
+		other.Shape = "none"
+	}
+	return wire.Encode(&other)
+}
+
 // any is a controller, as a balancer picks it.
 func (c *client) any() int { return c.draw(c.luck, c.count) }
 
@@ -306,7 +443,7 @@
 			if left := cancel - time.Since(start); cancel > 0 && left < 3*time.Second {
 				time.Sleep(left)
 				if c.until(c.cancel) == 200 {
-					came.cancelled.Add(1)
+					w.floor.cancelled.Add(1)
 				}
 				continue
 			}
--- a/meetings_sim_test.go
+++ b/meetings_sim_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,6 +16,7 @@
 
 	"amberdeal.example/amberdeal/internal/config"
 	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/store"
 	"amberdeal.example/amberdeal/wire"
 )
 
@@ -47,10 +50,26 @@
 	number uint64
 	luck   *rand.Rand
 	bad    int // the controller that troubles are about
+	mu     sync.Mutex
+	all    []*client
 }
 
 func (m *meeting) badIP() string { return m.ip(m.bad) }
 
+// comes has a user come, who is one of all users then.
+func (m *meeting) comes(j *wire.Job, submit, cancel time.Duration, runs ...time.Duration) {
+	c := m.submitter(m.number, j, submit, cancel, runs...)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.all = append(m.all, c)
+}
+
+func (m *meeting) users() []*client {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.all)
+}
+
 // aim picks whom troubles are about: mostly who holds something.
 func (m *meeting) aim() {
 	m.bad = m.luck.IntN(m.count)
@@ -253,6 +272,187 @@
 		m.cloud.Fail(change)
 		time.AfterFunc(d, func() { m.cloud.Fail(func(f *standin.CloudFaults) { *f = standin.CloudFaults{} }) })
 	}},
+	{"writes are taken, their answers lost", 10 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		share, of, steps := []int{30, 60, 100}[m.luck.IntN(3)], m.luck.IntN(3), rand.New(rand.NewPCG(m.luck.Uint64(), 7))
+		kind := []string{"", "ledger/", "batch/"}[of]
+		lasting(d, func(on bool) {
+			m.store.Stage(func(s *standin.Store) {
+				if s.Meets, s.Took = nil, nil; !on {
+					return
+				}
+				lost := false
+				s.Meets = func(puts map[string]wire.Raw) standin.Fate {
+					lost = false
+					for key := range puts {
+						lost = lost || strings.HasPrefix(key, store.Root+kind)
+					}
+					if lost = lost && m.draw(steps, 100) < share; lost {
+						return standin.Taken
+					}
+					return standin.Answered
+				}
+				s.Took = func([]string) {
+					if lost {
+						came.taken.Add(1)
+					}
+					lost = false
+				}
+			})
+		})
+	}},
+	{"reports are kept for the next leader", 40 * sec, 60 * sec, func(m *meeting, d time.Duration) {
+		m.echo.Keep([]float64{0.1, 0.5, 1}[m.luck.IntN(3)])
+		term, wait, acts := m.term(), d/4, time.Duration(m.luck.IntN(3000))*time.Millisecond
+		m.group.Go(func() {
+			end := time.Now().Add(d - 6*sec)
+			for at := time.Now().Add(wait); m.term() == term && time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				if time.Now().After(at) { // nothing else has ended the leader
+					at = end
+					m.crash(max(0, m.leader()), 15*sec, 0)
+				}
+			}
+			m.echo.Keep(0)
+			time.Sleep(acts)
+			if i := m.leader(); m.term() > term && i >= 0 {
+				came.kept.Add(int64(m.echo.Release(standin.Address(m.ip(i), 8080))))
+			}
+		})
+	}},
+	{"many jobs are cancelled at once", 0, 0, func(m *meeting, _ time.Duration) { m.cancelNow(0) }},
+	{"many jobs are cancelled at once, and their machines hang", 2 * sec, 30 * sec, func(m *meeting, d time.Duration) { m.cancelNow(d) }},
+	{"jobs are cancelled at their end", 10 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		m.group.Go(func() {
+			m.atEnds(d, -300*time.Millisecond, func(c *client) {
+				if c.until(c.cancel) == 200 {
+					came.atEnd.Add(1)
+				}
+			})
+		})
+	}},
+	{"users look closely", 10 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		m.floor.lookClosely(d)
+		m.group.Go(func() { m.atEnds(d, 0, func(c *client) { c.closely(8) }) })
+	}},
+	{"requests are odd", 5 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		luck := rand.New(rand.NewPCG(m.luck.Uint64(), 7))
+		m.group.Go(func() {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Duration(200+luck.IntN(800)) * time.Millisecond) {
+				m.odd(luck)
+			}
+		})
+	}},
+	{"machines are up at once", 20 * sec, 50 * sec, func(m *meeting, d time.Duration) {
+		boot := time.Duration(200+m.luck.IntN(1700)) * time.Millisecond
+		m.floor.quickly(d + boot)
+		lasting(d, func(on bool) {
+			m.cloud.Fail(func(*standin.CloudFaults) {
+				m.cloud.Boot, m.cloud.Capacity = 5*sec, 6
+				if on { // and there are some more
+					m.cloud.Boot, m.cloud.Capacity = boot, 9
+				}
+			})
+		})
+		for k := range 3 {
+			j := jobOf(fmt.Sprintf("wk-7%05d", len(m.users())), wire.Array, 3, 8*sec, func(j *wire.Job) { j.GPUs = 4 }) // which need them
+			m.comes(j, d*time.Duration(k)/4, 0, 8*sec)
+		}
+	}},
+}
+
+// cancelNow has users call off most of the jobs that run and have long to go within a fifth of a
+// second. For a while machines on which they run hang, if that is not 0.
+func (m *meeting) cancelNow(hang time.Duration) {
+	hung := 0
+	for _, c := range m.users() {
+		if c.long < 40*sec || m.check.Running(c.job.ID) == 0 || m.check.Stage(c.job.ID).Final() || m.luck.IntN(4) == 0 {
+			continue
+		}
+		counts := &came.atOnce
+		for _, x := range m.workers() {
+			if hang > 0 && hung < 8 && m.floor.on(x.id, c.job) {
+				hung, counts = hung+1, &came.hung
+				x.Hang(hang)
+			}
+		}
+		late := time.Duration(m.luck.IntN(200)) * time.Millisecond
+		m.group.Go(func() {
+			time.Sleep(late)
+			if c.until(c.cancel) == 200 && m.check.Stage(c.job.ID) == wire.Cancelled {
+				counts.Add(1)
+			}
+		})
+	}
+}
+
+// atEnds does something with each job around the moment at which its last task ends, so much sooner
+// or up to half a second later, for a while.
+func (m *meeting) atEnds(d, from time.Duration, do func(c *client)) {
+	luck, met := rand.New(rand.NewPCG(m.number, 23)), map[*client]bool{}
+	const step = 200 * time.Millisecond
+	for begun := time.Now(); time.Since(begun) < d && m.ctx.Err() == nil; time.Sleep(step) {
+		for _, c := range m.users() {
+			last, ok := m.floor.end(c.job)
+			if at := time.Until(last) + from; !ok || met[c] || at > step || at < -step || m.check.Stage(c.job.ID).Final() {
+				continue
+			}
+			met[c] = true
+			at := time.Until(last) + from + time.Duration(luck.IntN(int((500*time.Millisecond-from)/time.Millisecond)))*time.Millisecond
+			m.group.Go(func() {
+				time.Sleep(at)
+				do(c)
+			})
+		}
+	}
+}
+
+// odd has a user send what is odd: a submission once more, also with another body, of a job that is
+// not over, the cancellation of one that is done, or a job that lacks a field or can never run.
+func (m *meeting) odd(luck *rand.Rand) {
+	users := m.users()
+	c := users[luck.IntN(len(users))]
+	switch stage := m.check.Stage(c.job.ID); {
+	case stage == wire.Done && luck.IntN(2) == 0:
+		if c.cancel(c.any()) == 200 {
+			came.odd.Add(1)
+		}
+		return
+	case stage != "" && luck.IntN(2) == 0:
+		c.ask(c.any(), 5*sec, "POST", wire.PathJobs, c.body())
+		return
+	}
+	j, want := jobOf(fmt.Sprintf("wk-8%05d", luck.IntN(1e5)), wire.Array, 1+luck.IntN(3), 10*sec), 422
+	var fields map[string]any
+	switch luck.IntN(6) {
+	case 0:
+		j.Team = "nobody"
+	case 1:
+		j.CPUs = g4.CPUs + 1
+	case 2:
+		j.Types = []string{"none"}
+	case 3:
+		j.Team, j.Shape, j.GPUs, j.Tasks = "red", wire.Gang, 4, 2 // red may have 6
+	default:
+		want = 400
+		_ = wire.DecodeValue(wire.Encode(j), &fields)
+		names := slices.DeleteFunc(slices.Sorted(maps.Keys(fields)), func(name string) bool { return fields[name] == nil })
+		if name := names[luck.IntN(len(names))]; luck.IntN(2) == 0 {
+			delete(fields, name)
+		} else {
+			fields[name] = []any{nil, []string{"x"}, -1}[luck.IntN(3)]
+		}
+	}
+	body := wire.Encode(j)
+	if want == 400 {
+		body = wire.Encode(fields)
+	}
+	resp, err := m.reach(luck.IntN(m.count), 5*sec, "POST", wire.PathJobs, body)
+	switch {
+	case err != nil || resp.Status == 429 || resp.Status >= 500:
+	case resp.Status != want:
+		m.t.Errorf("%v, %+v is answered %d instead of %d", fields, j, resp.Status, want)
+	default:
+		came.odd.Add(1)
+	}
 }
 
 // pair gives the troubles of a case: as many cases as there are troubles hold each of them once
@@ -263,25 +463,42 @@
 	return &mishaps[i], &mishaps[(i+7+round*5)%n] // 5 and their number have no common divisor
 }
 
+// three draws the troubles of a meeting of three.
+func three(number uint64) (out []*mishap) {
+	for _, i := range rand.New(rand.NewPCG(number, 21)).Perm(len(mishaps))[:3] {
+		out = append(out, &mishaps[i])
+	}
+	return out
+}
+
 // came counts what has come about in all cases that were played, lest troubles are only names.
-var came struct{ played, putOff, putOffTaken, echoes, sessions, takeovers, cancelled, twoParts atomic.Int64 }
+var came struct {
+	played, putOff, putOffTaken, echoes, takeovers, cancelled, twoParts, taken, kept, atOnce, hung, atEnd, looks, odd, quick atomic.Int64
+}
 
-// playMeeting plays a day on which two troubles meet while jobs of every shape run, among them
+// playMeeting plays a day on which troubles meet while jobs of every shape run, among them
 // arrays of which the tasks end far apart, and users cancel before, in and after the meeting
 // through all controllers. Then it is quiet.
-func playMeeting(t *testing.T, number uint64) {
+func playMeeting(t *testing.T, number uint64, troubles ...*mishap) {
 	luck := rand.New(rand.NewPCG(number, 20))
-	first, second := pair(number)
-	// The second comes around a bound after the first has begun, or about when it ends.
-	lengths := [2]time.Duration{near(luck, first.least, first.most), near(luck, second.least, second.most)}
-	offset := near(luck, 0, 46*sec)
-	if luck.IntN(2) == 0 {
-		offset = max(0, lengths[0]+time.Duration(luck.IntN(5000)-1500)*time.Millisecond)
+	// Each comes around a bound after the one before it has begun, or about when that ends.
+	lengths, offsets := make([]time.Duration, len(troubles)), make([]time.Duration, len(troubles))
+	for k, x := range troubles {
+		lengths[k] = near(luck, x.least, x.most)
+	}
+	for k := range troubles[1:] {
+		if offsets[k+1] = near(luck, 0, 46*sec); luck.IntN(2) == 0 {
+			offsets[k+1] = max(0, lengths[k]+time.Duration(luck.IntN(5000)-1500)*time.Millisecond)
+		}
 	}
 	by, count := []string{"off", "zone"}[luck.IntN(2)], []int{3, 3, 5}[luck.IntN(3)]
 	keep := []int{0, 2, 200}[luck.IntN(3)]
 	silence := []time.Duration{0, 0, time.Hour}[luck.IntN(3)]
-	told := fmt.Sprintf("case %d: %s for %v; %v later %s for %v; parts %s, %d controllers, %d reports kept, silence %v", number, first.name, lengths[0], offset, second.name, lengths[1], by, count, keep, silence)
+	told := fmt.Sprintf("case %d:", number)
+	for k, x := range troubles {
+		told += fmt.Sprintf(" %v later %s for %v;", offsets[k], x.name, lengths[k])
+	}
+	told += fmt.Sprintf(" parts %s, %d controllers, %d reports kept, silence %v", by, count, keep, silence)
 	w := worldOfDoors(t, count, number, func(c *config.Config) {
 		c.Zone = []string{"a", "b"}[numberOf(c.Name)%2]
 		c.Tuning.Parts.By, c.Tuning.KeepReports, c.Tuning.Silence = by, keep, silence
@@ -298,22 +515,23 @@
 	log(told)
 
 	begins := 24*sec + time.Duration(luck.IntN(6000))*time.Millisecond
-	follows := begins + offset
-	over := max(begins+lengths[0], follows+lengths[1])
-	m.jobs(begins, follows, over)
-	start := time.Now()
-	at := func(d time.Duration) { time.Sleep(time.Until(start.Add(d))) }
-	at(begins)
-	term := w.term()
-	for k, x := range []*mishap{first, second} {
-		if k == 1 {
-			at(follows)
+	starts, over, at := make([]time.Duration, len(troubles)), time.Duration(0), begins
+	for k := range troubles {
+		at += offsets[k]
+		starts[k], over = at, max(over, at+lengths[k])
+	}
+	m.jobs(begins, starts[1], over)
+	start, term := time.Now(), uint64(0)
+	for k, x := range troubles {
+		time.Sleep(time.Until(start.Add(starts[k])))
+		if k == 0 {
+			term = w.term()
 		}
 		m.aim()
 		log(x.name, "for", lengths[k], "about", m.bad)
 		x.cast(m, lengths[k])
 	}
-	at(over)
+	time.Sleep(time.Until(start.Add(over)))
 	log("quiet")
 	w.close(100*sec, 10*time.Minute)
 
@@ -323,6 +541,9 @@
 	came.putOffTaken.Add(int64(taken))
 	came.echoes.Add(int64(w.echo.Came()))
 	came.takeovers.Add(int64(w.term() - term))
+	came.cancelled.Add(w.floor.cancelled.Load())
+	came.looks.Add(w.floor.looks.Load())
+	came.quick.Add(w.floor.atOnce.Load())
 	if by == "zone" {
 		came.twoParts.Add(1)
 	}
@@ -337,7 +558,7 @@
 		if change != nil {
 			change(j)
 		}
-		m.submitter(m.number, j, submit, cancel, runs...)
+		m.comes(j, submit, cancel, runs...)
 	}
 	wobble := func(around time.Duration, ms int) time.Duration {
 		return max(14*sec, around+time.Duration(m.luck.IntN(2*ms)-ms)*time.Millisecond)
@@ -367,43 +588,64 @@
 	job(wire.Gang, 2, saves, wobble(follows, 2000), 0, 15*sec)
 }
 
-// TestMeetings plays every kind of trouble once as the first and once as the second of two that
-// meet. AMBERDEAL_MEETINGS sets how many cases are played, as N or FROM-TO: the square of the number of
-// troubles holds all ordered pairs, and more play them again at other offsets. AMBERDEAL_MEETING plays one.
-func TestMeetings(t *testing.T) {
-	from, to := uint64(0), uint64(len(mishaps))
-	if text := os.Getenv("AMBERDEAL_MEETINGS"); text != "" {
+// cases gives those that a variable asks for, as N or FROM-TO, or the one that it names without an S.
+func cases(variable string, usual uint64) (from, to uint64) {
+	to = usual
+	if text := os.Getenv(variable + "S"); text != "" {
 		a, b, ranged := strings.Cut(text, "-")
 		if to, _ = strconv.ParseUint(a, 10, 64); ranged {
 			from = to
 			to, _ = strconv.ParseUint(b, 10, 64)
 		}
 	}
-	if text := os.Getenv("AMBERDEAL_MEETING"); text != "" {
+	if text := os.Getenv(variable); text != "" {
 		from, _ = strconv.ParseUint(text, 10, 64)
 		to = from + 1
 	}
+	return from, to
+}
+
+func playCases(t *testing.T, from, to uint64, troubles func(number uint64) []*mishap) {
 	t.Run("cases", func(t *testing.T) {
 		for n := from; n < to; n++ {
 			t.Run(fmt.Sprint(n), func(t *testing.T) {
 				t.Parallel()
-				synctest.Test(t, func(t *testing.T) { playMeeting(t, n) })
+				synctest.Test(t, func(t *testing.T) { playMeeting(t, n, troubles(n)...) })
 			})
 		}
 	})
+}
+
+// TestMeetings plays every kind of trouble once as the first and once as the second of two that
+// meet. AMBERDEAL_MEETINGS sets how many cases are played, as N or FROM-TO: the square of the number of
+// troubles holds all ordered pairs, and more play them again at other offsets. AMBERDEAL_MEETING plays one.
+func TestMeetings(t *testing.T) {
+	from, to := cases("AMBERDEAL_MEETING", uint64(len(mishaps)))
+	playCases(t, from, to, func(number uint64) []*mishap {
+		first, second := pair(number)
+		return []*mishap{first, second}
+	})
 	if n := uint64(came.played.Load()); n < uint64(len(mishaps)) || n < to-from {
 		return // some alone were asked for
 	}
-	t.Logf("%d writes put off, %d of them taken, %d reports again, %d claims, %d jobs cancelled, %d of %d days in two parts",
-		came.putOff.Load(), came.putOffTaken.Load(), came.echoes.Load(), came.takeovers.Load(), came.cancelled.Load(), came.twoParts.Load(), to-from)
-	for what, n := range map[string]*atomic.Int64{"write was put off": &came.putOff, "write that was put off was taken": &came.putOffTaken, "report came again": &came.echoes,
-		"controller took over": &came.takeovers, "job was cancelled": &came.cancelled, "day was in two parts": &came.twoParts} {
-		if n.Load() == 0 {
+	for what, n := range map[string]*atomic.Int64{"writes put off": &came.putOff, "writes that were put off and taken": &came.putOffTaken, "reports again": &came.echoes,
+		"claims": &came.takeovers, "jobs cancelled": &came.cancelled, "days in two parts": &came.twoParts,
+		"writes taken without an answer": &came.taken, "reports kept for the next leader": &came.kept, "jobs cancelled at once": &came.atOnce,
+		"jobs cancelled while their machines hang": &came.hung, "jobs cancelled at their end": &came.atEnd, "close looks": &came.looks,
+		"odd requests answered": &came.odd, "tasks on machines that were up at once": &came.quick} {
+		if t.Logf("%d %s", n.Load(), what); n.Load() == 0 {
 			t.Errorf("no %s in all these cases", what)
 		}
 	}
 }
 
+// TestMeetingsOfThree plays meetings of three that are drawn. AMBERDEAL_THREES sets which, as N or
+// FROM-TO, AMBERDEAL_THREE plays one.
+func TestMeetingsOfThree(t *testing.T) {
+	from, to := cases("AMBERDEAL_THREE", 3)
+	playCases(t, from, to, three)
+}
+
 // TestMeetingsHoldAllPairs: the enumeration holds every ordered pair, and every kind in both
 // places among the cases that are played by default.
 func TestMeetingsHoldAllPairs(t *testing.T) {
--- a/sim_test.go
+++ b/sim_test.go
@@ -32,6 +32,7 @@
 	store *standin.Store
 	cloud *standin.Cloud
 	check *standin.Checker
+	floor *floor
 	rand  *rand.Rand
 	nodes []*node
 	group sync.WaitGroup
@@ -79,6 +80,7 @@
 	}
 	w.store.Limits = standin.Limits{RPS: 200, WriteRPS: 60, ValueBytes: 8192, TxnOps: 12, PageItems: 7} // small pages, so that paging is tried
 	w.check = standin.NewChecker(45*time.Second, map[string]float64{"red": 6})
+	w.floor = newFloor(w.check)
 	w.ctx, w.stop = context.WithCancel(t.Context())
 	for i := range count {
 		w.net.Place(w.ip(i), w.settings(i).Zone)
@@ -103,13 +105,14 @@
 
 // machine starts machines that report so often and get direct calls so late.
 func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
-	names, yard := map[string]string{}, standin.NewYard(w.check, 20*time.Second, 3*time.Second)
+	names, yard := map[string]string{}, standin.NewYard(w.floor, 20*time.Second, 3*time.Second)
 	for i := range w.count {
 		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
 	}
 	return func(id, addr, typ, zone string, spot bool) standin.Machine {
 		host := standin.HostOf(addr)
 		w.net.Place(host, zone)
+		w.floor.up(id)
 		return standin.NewWorker(standin.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: g4, Net: w.net.Host(host),
 			Down: func() { w.net.Down(host, true) }, Controllers: names, Yard: yard, Lease: workerLease, Report: report, Late: late, Echo: w.echo})
 	}
