--- a/internal/standin/deaf.go
+++ b/internal/standin/deaf.go
@@ -121,8 +121,9 @@
 
 	mu    sync.Mutex
 	share float64
-	next  bool // copies are kept for the next leader
+	keep  float64 // share of which copies are kept for the next leader
 	came  int
+	anew  int    // of them, those that were kept for a leader
 	term  uint64 // of the last leader that acted
 	kept  []keptReport
 }
@@ -137,11 +138,11 @@
 const mostKept = 2000
 
 // ForNext sets of which share of the reports a copy is kept from now on until a new leader has
-// acted.
+// acted, apart from those that Share has come back.
 func (e *Echo) ForNext(share float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.share, e.next = share, share > 0
+	e.keep = share
 }
 
 // acts tells that a worker has taken an answer of a controller with a term. The first of a new
@@ -162,7 +163,7 @@
 			rest = append(rest, k)
 			continue
 		}
-		e.deliver(at, k.body, time.Duration(e.Rand.Int64N(int64(nextWithin))))
+		e.deliver(at, k.body, time.Duration(e.Rand.Int64N(int64(nextWithin))), &e.anew)
 	}
 	e.kept = rest
 }
@@ -174,7 +175,14 @@
 func (e *Echo) Share(share float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.share, e.next = share, false
+	e.share = share
+}
+
+// CameAnew tells how many were delivered to a leader that had just acted.
+func (e *Echo) CameAnew() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.anew
 }
 
 // Came tells how many copies were delivered.
@@ -191,12 +199,11 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.share <= 0 || e.Rand.Float64() >= e.share {
-		return
-	}
-	if e.next {
+	if e.keep > 0 && e.Rand.Float64() < e.keep {
 		e.kept = append(e.kept, keptReport{body, term})
 		e.kept = e.kept[max(0, len(e.kept)-mostKept):]
+	}
+	if e.share <= 0 || e.Rand.Float64() >= e.share {
 		return
 	}
 	const least = 2 * time.Second
@@ -204,11 +211,11 @@
 	if e.Rand.IntN(2) == 0 {
 		to = e.Nodes[e.Rand.IntN(len(e.Nodes))]
 	}
-	e.deliver(to, body, late)
+	e.deliver(to, body, late, nil)
 }
 
-// deliver has a copy arrive a while later.
-func (e *Echo) deliver(to string, body []byte, late time.Duration) {
+// deliver has a copy arrive a while later, and counts it, also where that is asked for.
+func (e *Echo) deliver(to string, body []byte, late time.Duration, also *int) {
 	time.AfterFunc(late, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 		defer cancel()
@@ -216,7 +223,9 @@
 		if _, err := caller.Call(ctx, to, "POST", wire.PathReport, body); err == nil {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			e.came++
+			if e.came++; also != nil {
+				*also++
+			}
 		}
 	})
 }
