Parts: a limit's room is used by whoever can use it

A part now keeps what is planned, wants are ordered by when they were submitted, and what comes free is held back for a part that has waited for as long as a job of the own part would have to.

--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -453,7 +453,7 @@
 	h.pictureClaims(pic)
 	plan := sched.Choose(pic)
 	h.launch(now, d, plan.Launches)
-	h.foresee(now, &plan)
+	h.foresee(now, &plan, pic.Teams)
 	h.leave(now, &plan)
 	if h.claims.set.Given() { // and nothing is stopped for room before the round is taken
 		h.claimBack(now, d, plan.Claims)
--- a/internal/round/grant.go
+++ b/internal/round/grant.go
@@ -1,6 +1,7 @@
 package round
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -34,10 +35,14 @@
 const nothing = 1e-9
 
 // spend sets what the part may use of a team's limits, and what others use.
-func (h *Holder) spend(t *sched.Team, name string) {
+func (h *Holder) spend(now time.Time, t *sched.Team, name string) {
 	own := h.grants.seen.Record.Teams[name][h.held.Part]
-	if h.overGranted(name, t) {
-		used := h.used()[name] // what an earlier grouping left to give back comes first
+	give := h.overGranted(name, t) // what an earlier grouping left to give back comes first
+	if h.holdsBack(now, name, *t) {
+		give = true
+	}
+	if give {
+		used := h.used()[name]
 		own = [2]float64{min(own[0], used[0]), min(own[1], used[1])}
 	}
 	if low, ok := h.grants.low[name]; ok {
@@ -128,18 +133,38 @@
 	grantSlice = 1.0 / 32 // of the limit
 )
 
+// foreign gives what the other parts want most urgently of a team's limits, and whether that goes
+// before what this part wants. Of two that are as urgent one does.
+func (h *Holder) foreign(team string) (most sched.Want, asked, first bool) {
+	from := ""
+	for _, part := range sortedKeys(h.others) {
+		if w, ok := h.others[part].Wants[team]; ok && (!asked || w.Compare(most) < 0) {
+			most, from, asked = w, part, true
+		}
+	}
+	return most, asked, asked && cmp.Or(most.Compare(h.outlook.wants[team]), cmp.Compare(from, h.held.Part)) < 0
+}
+
+// holdsBack reports whether what comes free here of a team's limit is for another part that has
+// waited for longer. It is given back soon; the next of many small tasks would take it before.
+func (h *Holder) holdsBack(now time.Time, name string, limit sched.Team) bool {
+	want, _, first := h.foreign(name)
+	if _, waits := h.outlook.wants[name]; !waits || !first {
+		return false
+	}
+	stays := h.outlook.stays[name]
+	for _, o := range h.others {
+		stays = stays.Plus(o.Stays[name], 1)
+	}
+	return want.Worth(now.Sub(want.Since), h.cfg.Tuning.BeginWithin, limit, stays)
+}
+
 // grantOf gives what a part should be granted of a team's limits.
 func (h *Holder) grantOf(t *config.Team, own, used [2]float64) [2]float64 {
 	sum := h.granted(t.Name)
 	mine, waits := h.outlook.wants[t.Name]
-	var foreign sched.Want
-	asked := false
-	for _, o := range h.others {
-		if w, ok := o.Wants[t.Name]; ok && (!asked || w.Before(foreign)) {
-			foreign, asked = w, true
-		}
-	}
-	yields := asked && (!waits || foreign.Before(mine))
+	foreign, asked, first := h.foreign(t.Name)
+	yields := asked && (!waits || first)
 	out := own
 	for i, limit := range [2]float64{t.CPUsMax, t.GPUsMax} {
 		need := [2]float64{mine.CPUs, mine.GPUs}[i]
@@ -147,8 +172,10 @@
 		left := max(0, limit-sum[i])
 		switch {
 		case limit == 0:
-		case sum[i] > limit+nothing, yields && wanted > left:
-			out[i] = min(own[i], used[i]) // what is free goes to the others
+		case sum[i] > limit+nothing:
+			out[i] = min(own[i], used[i])
+		case yields && wanted > left: // what is free goes to the others, but for what only waits for its machine
+			out[i] = min(own[i], max(used[i], h.outlook.placed[t.Name][i]))
 		case waits && need > 0 && left > 0:
 			out[i] = own[i] + min(left, max(need*grantMore, limit*grantSlice))
 		}
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -16,7 +16,7 @@
 	for _, t := range h.cfg.Teams {
 		team := &sched.Team{CPUs: t.CPUs, GPUs: t.GPUs, CPUsMax: t.CPUsMax, GPUsMax: t.GPUsMax}
 		if !h.group.Whole() {
-			h.spend(team, t.Name)
+			h.spend(now, team, t.Name)
 		}
 		pic.Teams[t.Name] = team
 	}
@@ -86,8 +86,8 @@
 func (h *Holder) pictureJobs(now time.Time, rebuilding bool) map[string]*sched.Job {
 	jobs := make(map[string]*sched.Job, len(h.live))
 	for id, l := range h.live {
-		j := &sched.Job{Job: l.Record.Job, Order: l.Since, InZone: map[string]int{},
-			Age: now.Sub(time.UnixMilli(l.Record.Created))}
+		since := time.UnixMilli(l.Record.Created)
+		j := &sched.Job{Job: l.Record.Job, Order: l.Since, InZone: map[string]int{}, Since: since, Age: now.Sub(since)}
 		if j.Shape == wire.Service {
 			j.Rule = h.cfg.Tuning.Spread[j.Class]
 		}
--- a/internal/round/share.go
+++ b/internal/round/share.go
@@ -116,15 +116,23 @@
 
 // outlook is what the last plan leaves to do between parts.
 type outlook struct {
-	at    time.Time
-	short []sched.Short
-	rooms map[string]sched.Room
-	wants map[string]sched.Want
-	ready []string // gangs in pieces for which there is room
+	at     time.Time
+	short  []sched.Short
+	rooms  map[string]sched.Room
+	wants  map[string]sched.Want
+	ready  []string // gangs in pieces for which there is room
+	stays  map[string]sched.Amount
+	placed map[string][2]float64 // what teams use with all that the plan has found a place for
 }
 
-func (h *Holder) foresee(now time.Time, plan *sched.Plan) {
-	h.outlook = outlook{now, plan.Short, plan.Rooms, plan.Wants, plan.Ready}
+func (h *Holder) foresee(now time.Time, plan *sched.Plan, teams map[string]*sched.Team) {
+	h.outlook = outlook{now, plan.Short, plan.Rooms, plan.Wants, plan.Ready, plan.Stays, make(map[string][2]float64, len(teams))}
+	for name, t := range teams {
+		// Or it has reserved what there is not, for a job that has waited for long.
+		if t.Within() {
+			h.outlook.placed[name] = [2]float64{t.UsedCPUs, t.UsedGPUs}
+		}
+	}
 	for _, j := range h.jobs {
 		j.muster.ready = false
 	}
--- a/internal/round/standing.go
+++ b/internal/round/standing.go
@@ -13,9 +13,10 @@
 type Standing struct {
 	Term     uint64
 	Counts   map[string]Count
-	Rooms    map[string]sched.Room // by class
-	Wants    map[string]sched.Want // by team: what its grant holds back
-	Used     map[string][2]float64 // CPUs and GPUs, by team
+	Rooms    map[string]sched.Room   // by class
+	Wants    map[string]sched.Want   // by team: what its grant holds back
+	Used     map[string][2]float64   // CPUs and GPUs, by team
+	Stays    map[string]sched.Amount // what services take of that, or are to, by team
 	Zones    map[string]Reach
 	Ready    []string // gangs for whose tasks here there is room, of which others have the rest
 	Tiers    map[string]tier.Standing
@@ -35,7 +36,7 @@
 	if h.standing.Counts != nil && now.Sub(h.stood) < countGap {
 		return h.standing
 	}
-	s := Standing{Term: h.held.Term, Counts: counts, Wants: maps.Clone(h.outlook.wants), Used: h.used(), Zones: h.zones(now), Machines: len(h.fleet.Machines()), Ready: h.outlook.ready}
+	s := Standing{Term: h.held.Term, Counts: counts, Wants: maps.Clone(h.outlook.wants), Used: h.used(), Stays: h.outlook.stays, Zones: h.zones(now), Machines: len(h.fleet.Machines()), Ready: h.outlook.ready}
 	s.Tiers = h.standingTiers()
 	if h.resumed {
 		s.Rooms = h.outlook.rooms
--- a/internal/round/trace_test.go
+++ b/internal/round/trace_test.go
@@ -107,6 +107,9 @@
 		}
 		j.Spread, j.OneZone, j.EstimateS = kv["spread"] != "", kv["one_zone"] != "", float64(num("estimate", 0))
 		rec := store.JobRecord{Stage: wire.Pending, Tasks: j.Tasks, Job: j}
+		if kv["age"] != "" {
+			rec.Created = b.now.Add(-time.Duration(num("age", 0)) * time.Second).UnixMilli()
+		}
 		if kv["key"] == "own" { // as version 1 stored it
 			b.apply(wire.Change{Put: store.JobKey(j.ID), Value: rec})
 			break
@@ -228,8 +231,9 @@
 			s.Ready = []string{kv["ready"]}
 		}
 		if n := num("want", 0); n > 0 {
-			s.Wants = map[string]sched.Want{"red": {GPUs: float64(n), Rank: num("rank", 1), Age: time.Duration(num("age", 0)) * time.Second}}
+			s.Wants = map[string]sched.Want{"red": {GPUs: float64(n), Least: sched.Amount{GPUs: float64(n)}, Rank: num("rank", 1), Since: b.now.Add(-time.Duration(num("age", 0)) * time.Second)}}
 		}
+		s.Stays = map[string]sched.Amount{"red": {GPUs: float64(num("stays", 0))}}
 		b.holder.SetOthers(map[string]Standing{w[1]: s}, 1)
 	case "grants": // of the GPUs of the team red
 		rec := store.GrantRecord{Teams: map[string]map[string][2]float64{"red": {}}}
--- a/internal/sched/gather.go
+++ b/internal/sched/gather.go
@@ -125,19 +125,25 @@
 	if !pl.waitedLong(j) || j.Age >= 2*pl.BeginWithin {
 		return false
 	}
-	if pl.stays == nil {
-		pl.stays = make(map[string]Amount)
-		for _, other := range pl.Jobs {
-			if other.Shape == wire.Service {
-				pl.stays[other.Team] = pl.stays[other.Team].Plus(Of(other.Job), float64(other.Active+len(other.Waiting)))
-			}
-		}
-	}
 	t := *pl.Teams[j.Team]
 	t.UsedCPUs, t.UsedGPUs = 0, 0
+	pl.countStays()
 	return t.allows(pl.stays[j.Team].Plus(a, 1))
 }
 
+// countStays sums what services take, by team.
+func (pl *planner) countStays() {
+	if pl.stays != nil {
+		return
+	}
+	pl.stays = make(map[string]Amount)
+	for _, other := range pl.Jobs {
+		if other.Shape == wire.Service {
+			pl.stays[other.Team] = pl.stays[other.Team].Plus(Of(other.Job), float64(other.Active+len(other.Waiting)))
+		}
+	}
+}
+
 // keep picks the machines that are gathered before anything is placed, so that what goes
 // before the gangs takes other room where there is any.
 func (pl *planner) keep() {
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,13 +21,15 @@
 // Want is what a team's grant holds back: work that would be launched if it were larger.
 type Want struct {
 	CPUs, GPUs float64
-	Rank       int           // of the most urgent of it
-	Age        time.Duration // of the oldest of that
+	Rank       int       // of the most urgent of it
+	Since      time.Time // when the oldest of that was submitted
+	Least      Amount    // that any of it takes: a task, or a gang
 }
 
-// Before reports whether a want goes before another.
-func (w Want) Before(other Want) bool {
-	return w.Rank > other.Rank || w.Rank == other.Rank && w.Age > other.Age
+// Compare orders wants, the one that goes first before others. An age would not do: what another
+// part has told was so a while ago, and of two that are as old each would take its own for the older.
+func (w Want) Compare(other Want) int {
+	return cmp.Or(cmp.Compare(other.Rank, w.Rank), w.Since.Compare(other.Since))
 }
 
 // Short is a job of which tasks found no room: some wait for what is on its way, for
@@ -47,14 +50,25 @@
 	w, known := pl.plan.Wants[j.Team]
 	w.CPUs += j.CPUs * float64(tasks)
 	w.GPUs += j.GPUs * float64(tasks)
-	if rank := j.Priority.Rank(); !known || rank > w.Rank {
-		w.Rank, w.Age = rank, j.Age
-	} else if rank == w.Rank {
-		w.Age = max(w.Age, j.Age)
+	least := Of(j.Job)
+	if j.Shape == wire.Gang {
+		least = Amount{}.Plus(least, float64(tasks))
+	}
+	if w.Least.Fits(least) || !known {
+		w.Least = least
+	}
+	if rank := j.Priority.Rank(); !known || rank > w.Rank || rank == w.Rank && j.Since.Before(w.Since) {
+		w.Rank, w.Since = rank, j.Since
 	}
 	pl.plan.Wants[j.Team] = w
 }
 
+// Worth reports whether what is wanted will fit into a limit once all has ended but what stays, so
+// that work of other parts is to wait for it: it has waited for long, as in one part.
+func (w Want) Worth(waited, beginWithin time.Duration, limit Team, stays Amount) bool {
+	return beginWithin > 0 && waited >= beginWithin/patience && waited < 2*beginWithin && limit.allows(stays.Plus(w.Least, 1))
+}
+
 // short notes tasks that found no room now.
 func (pl *planner) short(j *Job, coming, none int) {
 	pl.plan.Waits = pl.plan.Waits || coming+none > 0
@@ -78,6 +92,8 @@
 	if !pl.Parts {
 		return
 	}
+	pl.countStays()
+	pl.plan.Stays = pl.stays
 	newest := make(map[string]*Job)
 	for _, j := range pl.Jobs {
 		if n := newest[j.Class]; n == nil || j.Order > n.Order {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -88,6 +88,7 @@
 type Job struct {
 	*wire.Job
 	Age     time.Duration
+	Since   time.Time // of its submission
 	Order   uint64
 	Waiting []int // tasks that are nowhere and may be placed
 	InZone  map[string]int
@@ -142,6 +143,9 @@
 	return (t.CPUsMax == 0 || t.UsedCPUs+a.CPUs <= t.CPUsMax+dust) && (t.GPUsMax == 0 || t.UsedGPUs+a.GPUs <= t.GPUsMax+dust)
 }
 
+// Within reports whether a team uses no more than it may, with all that was planned.
+func (t *Team) Within() bool { return t.allows(Amount{}) }
+
 func (t *Team) use(a Amount) { t.UsedCPUs += a.CPUs; t.UsedGPUs += a.GPUs }
 
 // left tells after how long a task should end, as far as its estimate can tell.
@@ -217,9 +221,10 @@
 
 	// Where the fleet is in several parts: what the others should know.
 	Short []Short
-	Rooms map[string]Room // by class
-	Wants map[string]Want // by team
-	Ready []string        // gangs to hold for which there is room
+	Rooms map[string]Room   // by class
+	Wants map[string]Want   // by team
+	Stays map[string]Amount // what services take, by team
+	Ready []string          // gangs to hold for which there is room
 
 	Uneven bool // services are to be moved
 
