Fleet: copies of reports renew nothing

The answer to a report counted as one that the machine may have taken, also when it was a copy that came long after newer ones, so that the proof by time waited for as long as copies came. Nor does an answer to a report from before the term carry a launch, which would be lost for a report.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -124,6 +124,7 @@
 	LastSession uint64
 	seq         uint64       // of the newest message
 	reportSeq   uint64       // of the newest report
+	reported    time.Time    // when that came
 	launchSeq   uint64       // of the newest report of which the answer carried launches
 	met         bool         // something of the session has been heard
 	unheeded    int          // signs in a row that it takes nothing that it is told
@@ -486,7 +487,7 @@
 		events = f.missing(now, m, r, own, events)
 	}
 	if own {
-		m.reportSeq = r.Seq
+		m.reportSeq, m.reported = r.Seq, now
 	}
 	return events
 }
@@ -588,15 +589,16 @@
 func (f *Fleet) Answer(now time.Time, r *wire.Report, launch bool) []wire.Command {
 	cmds := []wire.Command{}
 	m := f.machines[r.Machine]
-	if m == nil {
+	if m == nil || m.outdated(now, r) {
 		return cmds
 	}
 	m.answered(now)
 	if r.Session != m.Session || r.Seq < m.reportSeq {
 		return cmds
 	}
-	// Of a report that has come again, nobody waits for the answer.
-	launch = launch && m.serves() && r.Seq > m.launchSeq && f.Heeds(now, m)
+	// Of a report that has come again, nobody waits for the answer; to one from before the term, of
+	// a machine that was seen at it since, hardly anybody.
+	launch = launch && m.serves() && r.Seq > m.launchSeq && r.Term == f.Term && f.Heeds(now, m)
 	kept := 0
 	for _, p := range m.Placements() {
 		switch {
@@ -616,6 +618,16 @@
 	return cmds
 }
 
+// outdated reports whether the worker waits for no answer to a report any more: it has sent a newer
+// one, or is in a later session, or sent this one too long ago. Such an answer renews no lease, and a
+// proof by time does not wait for it.
+func (m *Machine) outdated(now time.Time, r *wire.Report) bool {
+	if r.Session != m.Session {
+		return r.Session < m.Session
+	}
+	return r.Seq < m.reportSeq || r.Seq == m.reportSeq && now.Sub(m.reported) > margin
+}
+
 // Lapses reports whether a machine is to lose its lease: a launch of a job that is over may be
 // executed there as long as the session lasts, and each answer would let that last beyond the
 // time within which the job's tasks must be gone. The cloud may be out, or this holder not
