--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -49,19 +49,18 @@
 func (h *history) now() int64 { return time.Since(h.begun).Nanoseconds() }
 
 // add keeps an answer. An attempt without one may take effect at any later time.
-func (h *history) add(job string, op opKind, status int, stage wire.Stage, sent int64) {
+func (h *history) add(job string, op opKind, status int, stage wire.Stage, sent, back int64) {
 	out := answer{known: status == 200 || status == 201 || status == 404, absent: status == 404, stage: stage}
 	if !out.known && op == opStatus {
 		return // it told nothing, and did nothing
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	back := h.now()
 	if !out.known {
 		back = 1<<62 - 1
 	}
 	h.ops[job] = append(h.ops[job], porcupine.Operation{ClientId: len(h.ops[job]), Input: op, Call: sent, Output: out, Return: back})
-	if out.known && !out.absent {
+	if out.known && !out.absent && !h.last[job].Final() {
 		h.last[job] = stage
 	}
 }
@@ -79,6 +78,13 @@
 	return jobs
 }
 
+// stage is what the user of a job was told last.
+func (h *history) stage(job string) wire.Stage {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last[job]
+}
+
 // phase is how far a job has come.
 type phase int
 
--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -34,10 +34,7 @@
 		var h history
 		h.begin()
 		for _, o := range x.ops {
-			h.add("wk-1", o.kind, o.status, o.stage, o.sent)
-			if ops := h.ops["wk-1"]; len(ops) > 0 && ops[len(ops)-1].Return < 1<<61 {
-				ops[len(ops)-1].Return = o.back
-			}
+			h.add("wk-1", o.kind, o.status, o.stage, o.sent, o.back)
 		}
 		if got := strings.Join(h.broken(), "; "); (got != "") != x.broken {
 			t.Errorf("%s: %q", name, got)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -103,16 +103,33 @@
 [class s]
 shape = service
 per_minute = 24
-run = 1s-2s
+run = 3s-5s
 priority = production`), Addrs: addrs, Judge: w.Control(), Prefix: "9", Wait: time.Minute,
 		Caller: &transport.Caller{Limit: 1 << 20, Dial: world.Dial}}
-	res, err := r.Run(t.Context(), func(int, int, int) {})
+	for _, f := range []world.Fault{{Kind: "odd_requests", For: 6 * time.Second}, {Kind: "close_looks", For: 20 * time.Second}, {Kind: "cancel_at_end", Share: 1, For: 20 * time.Second}} {
+		if _, err := w.Stage(f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	called := false
+	res, err := r.Run(t.Context(), func(sent, all, _ int) {
+		if sent >= all/2 && !called { // some services run
+			_, err := w.Stage(world.Fault{Kind: "cancel_now", Count: 4, Hang: 2 * time.Second})
+			called = err == nil
+		}
+	})
+	if !called {
+		t.Error("no job was called off")
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(res.Broken) > 0 || len(res.Open) > 0 {
 		t.Errorf("broken: %v; open: %v", res.Broken, res.Open)
 	}
+	if o := res.Ordered; o.Cancelled < 5 || o.Odd < 4 || o.Looks < 20 {
+		t.Errorf("%+v", o)
+	}
 	for name, c := range res.Classes {
 		if c.Accepted != c.Jobs || c.Done+c.Cancelled != c.Jobs || c.Accept.Count != int64(c.Jobs) {
 			t.Errorf("%s: %+v", name, c)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -33,6 +33,10 @@
 	mu      sync.Mutex
 	classes map[string]*ClassResult
 	told    []world.Told
+	jobs    map[string]*followed
+	orders  world.Orders
+	odd     int // submissions that must be refused, so far
+	ordered Ordered
 	open    atomic.Int64
 	sent    atomic.Int64
 }
@@ -73,6 +77,7 @@
 	Open    []string                `json:"open"` // jobs that are not over
 	Broken  []string                `json:"rules_broken"`
 	Late    int                     `json:"sent_late"` // jobs that this program sent over 100 ms late
+	Ordered Ordered                 `json:"ordered"`
 }
 
 const longest = 24 * 3600 * 1000 // ms
@@ -100,12 +105,14 @@
 // Run sends the jobs of the mix, each at its time, and follows them until they are over.
 // progress is told how many were sent of how many, and how many are open.
 func (r *Runner) Run(ctx context.Context, progress func(sent, all, open int)) (*Result, error) {
-	r.classes = make(map[string]*ClassResult)
+	r.classes, r.jobs = make(map[string]*ClassResult), make(map[string]*followed)
 	arrivals := r.Mix.Arrivals(r.Prefix)
 	r.history.begin()
 	judging, stop := context.WithCancel(context.WithoutCancel(ctx))
 	judged := make(chan struct{})
 	go func() { defer close(judged); r.judge(judging) }()
+	acted := make(chan struct{})
+	go func() { defer close(acted); r.obey(judging) }()
 	var group sync.WaitGroup
 	begun, late := time.Now(), 0
 	follow, cancel := context.WithCancel(ctx)
@@ -134,8 +141,9 @@
 	cancel()
 	<-over
 	stop()
+	<-acted
 	<-judged
-	res := &Result{Classes: r.classes, Late: late, Open: r.history.open(), Broken: r.history.broken()}
+	res := &Result{Classes: r.classes, Late: late, Ordered: r.ordered, Open: r.history.open(), Broken: r.history.broken()}
 	for _, c := range r.classes {
 		c.Accept, c.Start, c.Finish = timesOf(c.accept), timesOf(c.start), timesOf(c.finish)
 	}
@@ -190,10 +198,10 @@
 	j := a.Job
 	r.note(j.Class, func(c *ClassResult) { c.Jobs++ })
 	r.tell(world.Told{Submitted: j})
-	body := wire.Encode(j)
+	f := &followed{n: n, job: j, body: wire.Encode(j)}
 	accepted := false
 	for try := 0; !accepted; try++ {
-		status, _ := r.call(ctx, n+try, j, opSubmit, "POST", wire.PathJobs, body, false)
+		status, _ := r.call(ctx, n+try, f, opSubmit)
 		switch {
 		case status == 200 || status == 201:
 			accepted = true
@@ -208,13 +216,17 @@
 			pause(ctx, time.Second)
 		}
 	}
-	r.follow(ctx, n, a, meant)
+	r.mu.Lock()
+	r.jobs[j.ID] = f
+	r.mu.Unlock()
+	r.look(ctx, f)
+	r.follow(ctx, f, a, meant)
+	r.look(ctx, f)
 }
 
 // follow asks about a job until it is over, and cancels it if that is meant.
-func (r *Runner) follow(ctx context.Context, n int, a *Arrival, meant time.Time) {
-	j, begun, started, asked := a.Job, time.Now(), false, false
-	path := wire.PathJobs + "/" + j.ID
+func (r *Runner) follow(ctx context.Context, f *followed, a *Arrival, meant time.Time) {
+	j, begun, started := a.Job, time.Now(), false
 	for try := 0; ctx.Err() == nil; try++ {
 		wait := r.Mix.Poll
 		if !started {
@@ -224,14 +236,11 @@
 			wait = min(wait, max(50*time.Millisecond, a.Cancel-time.Since(begun)))
 		}
 		pause(ctx, wait)
-		var status int
-		var s wire.JobStatus
-		if a.Cancel > 0 && time.Since(begun) >= a.Cancel {
-			asked = true
-			status, s = r.call(ctx, n+try, j, opAbort, "POST", path+"/"+wire.CancelWord, []byte{}, true)
-		} else {
-			status, s = r.call(ctx, n+try, j, opStatus, "GET", path, nil, asked)
+		op := opStatus
+		if f.told.Load() || a.Cancel > 0 && time.Since(begun) >= a.Cancel {
+			op = opAbort
 		}
+		status, s := r.call(ctx, f.n+try, f, op)
 		if status != 200 {
 			continue
 		}
@@ -251,10 +260,15 @@
 }
 
 // call makes a request to one of the controllers, and remembers when it was made and answered.
-func (r *Runner) call(ctx context.Context, n int, j *wire.Job, op opKind, method, path string, body []byte, asked bool) (status int, s wire.JobStatus) {
-	wait := 5 * time.Second
-	if op == opStatus {
-		wait = pollWait
+func (r *Runner) call(ctx context.Context, n int, f *followed, op opKind) (status int, s wire.JobStatus) {
+	j, wait := f.job, 5*time.Second
+	method, path, body := "POST", wire.PathJobs, f.body
+	switch op {
+	case opStatus:
+		method, path, body, wait = "GET", path+"/"+j.ID, nil, pollWait
+	case opAbort:
+		path, body = path+"/"+j.ID+"/"+wire.CancelWord, []byte{}
+		f.asked.Store(true)
 	}
 	call, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -264,10 +278,11 @@
 		status = resp.Status
 		_ = wire.Decode(resp.Body, &s)
 	}
-	r.history.add(j.ID, op, status, s.Stage, sent)
+	back, asked := r.history.now(), f.asked.Load()
+	r.history.add(j.ID, op, status, s.Stage, sent, back)
 	r.note(j.Class, func(c *ClassResult) { c.Statuses[fmt.Sprint(status)]++ })
 	if ctx.Err() == nil && (status > 0 || op == opStatus) {
-		r.tell(world.Told{Job: j.ID, Status: status, Stage: s.Stage, Asked: asked, Poll: op == opStatus})
+		r.tell(world.Told{Job: j.ID, Status: status, Stage: s.Stage, Asked: asked, Poll: op == opStatus, Sent: sent, Back: back})
 		r.known.Heard(time.Now(), j.ID, status, s.Stage, asked, op == opStatus)
 	}
 	return status, s
@@ -333,6 +348,9 @@
 	for _, id := range res.Open {
 		fmt.Fprintln(out, "not over:", id)
 	}
+	if o := res.Ordered; o != (Ordered{}) {
+		fmt.Fprintf(out, "by the world's faults %d jobs were cancelled, %d odd requests made and %d answers taken in close looks\n", o.Cancelled, o.Odd, o.Looks)
+	}
 	if res.Late > 0 {
 		fmt.Fprintf(out, "%d jobs were sent over 100 ms late: this machine is too slow for the load\n", res.Late)
 	}
--- a/internal/standin/deaf_test.go
+++ b/internal/standin/deaf_test.go
@@ -115,8 +115,92 @@
 	})
 }
 
+// TestMute: a mute machine's reports reach nobody, and a direct command reaches it; once it is not
+// mute any more it reports again.
+func TestMute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, a := NewNet(), &answering{got: map[string][]wire.Report{}}
+		ctx, stop := context.WithCancel(t.Context())
+		go n.Host("10.0.0.1").Listen(ctx, "10.0.0.1:8080", 0, a.serve("c-0"))
+		w := NewWorker(WorkerConfig{ID: "n-1", Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Net: n.Host("10.1.0.1"), Down: func() {},
+			Yard: NewYard(NewChecker(time.Minute, nil), time.Minute, time.Second), Controllers: map[string]string{"c-0": "10.0.0.1:8080"}, Lease: 20 * time.Second, Report: 2 * time.Second})
+		time.Sleep(5 * time.Second)
+		if got := a.take()["c-0"]; len(got) < 2 {
+			t.Errorf("%d reports", len(got))
+		}
+		w.Mute(true)
+		time.Sleep(15 * time.Second)
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		resp, err := (&transport.Caller{Limit: 1 << 20, Dial: n.Host("10.0.0.1").Dial}).Call(call, "10.1.0.1:9000", "POST", wire.PathDirect, wire.Encode(wire.Direct{Term: 7, Session: 1}))
+		if err != nil || resp.Status != 200 {
+			t.Errorf("a direct command: %v, %v", resp, err)
+		}
+		time.Sleep(6 * time.Second)
+		if got := a.take()["c-0"]; len(got) > 0 || w.Lost() != 1 {
+			t.Errorf("%d reports came, %d sessions lost", len(got), w.Lost())
+		}
+		w.Mute(false)
+		time.Sleep(10 * time.Second)
+		if got := a.take()["c-0"]; len(got) < 2 {
+			t.Errorf("%d reports once it is not mute", len(got))
+		}
+		w.Kill()
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestForNext: copies of reports are kept while the same leader acts, however long, and come to the
+// next one as soon as it has.
+func TestForNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := NewNet()
+		ctx, stop := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		var old int
+		term := uint64(1)
+		go n.Host("10.0.0.1").Listen(ctx, "10.0.0.1:8080", 0, handler(func(_, _ string, _ map[string]string, body []byte) (int, any) {
+			var r wire.Report
+			_ = wire.Decode(body, &r)
+			mu.Lock()
+			defer mu.Unlock()
+			if r.Term == 1 && term == 2 {
+				old++
+			}
+			return 200, wire.Answer{Term: term, Commands: []wire.Command{}}
+		}))
+		time.Sleep(time.Second)
+		echo := &Echo{Dial: n.Host("10.4.0.1").Dial, Nodes: []string{"10.0.0.1:8080"}, Most: time.Minute, Rand: rand.New(rand.NewPCG(1, 1))}
+		w := NewWorker(WorkerConfig{ID: "n-1", Addr: "10.1.0.1:9000", Type: "g4", Zone: "a", Net: n.Host("10.1.0.1"), Down: func() {}, Echo: echo,
+			Yard: NewYard(NewChecker(time.Minute, nil), time.Minute, time.Second), Controllers: map[string]string{"c-0": "10.0.0.1:8080"}, Lease: 20 * time.Second, Report: 2 * time.Second})
+		time.Sleep(5 * time.Second)
+		echo.ForNext(1)
+		time.Sleep(time.Minute)
+		echo.ForNext(0)
+		if echo.Came() > 0 {
+			t.Error("they came while the same leader acted")
+		}
+		mu.Lock()
+		term = 2
+		mu.Unlock()
+		time.Sleep(3 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		if echo.Came() < 25 || old < echo.Came() {
+			t.Errorf("%d copies came, %d of them old", echo.Came(), old)
+		}
+		w.Kill()
+		stop()
+		n.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestLater: a transaction that is put off gets no answer, and is carried out 2 to 12 s later,
-// after a newer one; one whose condition no longer holds changes nothing.
+// after a newer one; one whose condition no longer holds changes nothing. One of which only the
+// answer is lost is carried out at once.
 func TestLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, s := NewNet(), NewStore(1, 0)
@@ -146,9 +230,14 @@
 		if status, err := put("a", 0); status != 200 {
 			t.Errorf("a newer one was answered %d, %v", status, err)
 		}
+		s.Stage(func(s *Store) { s.Unheard = 1 })
+		if status, err := put("c", 0); !errors.Is(err, os.ErrDeadlineExceeded) || len(s.Page("c", "", 0).Items) != 1 || s.TakenUnheard() != 1 {
+			t.Errorf("one that is taken at once was answered %d, %v", status, err)
+		}
+		s.Stage(func(s *Store) { s.Unheard = 0 })
 		time.Sleep(12 * time.Second)
 		items := s.Page("", "", 0).Items
-		if late, taken := s.PutOff(); late != 2 || taken != 1 || len(items) != 2 || items[0].Version != 1 || items[1].Version != 2 {
+		if late, taken := s.PutOff(); late != 2 || taken != 1 || len(items) != 3 || items[0].Version != 1 || items[1].Version != 3 {
 			t.Errorf("%d late, %d taken, %v", late, taken, items)
 		}
 		stop()
