--- a/internal/standin/measures_test.go
+++ b/internal/standin/measures_test.go
@@ -70,10 +70,13 @@
 		on     map[int]string
 		used   float64 // of the team's 6 GPUs
 		gone   bool    // for a moment there is no room
+		turns  int     // for how many samples each machine has room in turn, with those before it
 		want   string  // none, idle or partly
 	}{
 		"an array":                         {job: job(wire.Array, 9, nil), places: two, want: "idle"},
 		"a machine is away for a moment":   {job: job(wire.Array, 9, nil), places: two, gone: true},
+		"machines take turns":              {job: job(wire.Array, 9, nil), places: two, turns: 12, want: "idle"},
+		"they do so fast":                  {job: job(wire.Array, 9, nil), places: two, turns: 3},
 		"full":                             {job: job(wire.Array, 9, nil), places: []Place{place("n-1", "a", 0.5)}},
 		"another zone":                     {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two[:1]},
 		"its zone":                         {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two, want: "idle"},
@@ -100,6 +103,9 @@
 		r.Over(begun.Add(30 * time.Second))
 		for at := time.Duration(0); at <= 123*time.Second; at += 3 * time.Second {
 			places := x.places
+			if n := int(at / (3 * time.Second)); x.turns > 0 && n%x.turns > 6 || x.turns > 0 && x.turns < 6 {
+				places = places[n/x.turns%2:][:1] // else both have it
+			}
 			if x.gone && at == time.Minute {
 				places = places[:0]
 			}
--- a/internal/standin/room.go
+++ b/internal/standin/room.go
@@ -34,9 +34,10 @@
 // that hangs, hears nothing or has a notice is none. The rule knows no exception for room that is
 // kept for another job, whatever its priority: a job that waits for its machines to boot keeps
 // nobody from work that would go by then, and what has room for 90 s is not about to be
-// taken. To be never wrong, the *same* machines must have had the room in all samples of 90 s:
-// for one task more of an array or a service, for all tasks of a gang, in the zones that the job
-// allows, and within what its team's limit leaves in each sample.
+// taken. To be never wrong, room counts only where the same machines have had it in all samples of the
+// last 12 s (what becomes free is taken by another job sooner), and all 90 s through there must be
+// such room: for one task more of an array or a service, for all tasks of a gang, in the zones
+// that the job allows, and within what its team's limit leaves in each sample.
 type Room struct {
 	Limits map[string]Limit // of teams
 
@@ -50,11 +51,25 @@
 // waiting is a job with tasks that are nowhere while there has been room for them.
 type waiting struct {
 	since  time.Time
-	idle   bool           // no task of it is anywhere
-	slots  map[string]int // for how many tasks each machine has had room all the while
+	idle   bool             // no task of it is anywhere
+	recent []map[string]int // for how many tasks each machine had room in the last samples
 	judged bool
 }
 
+// steadySamples is for how many samples room must be there to count.
+const steadySamples = 5
+
+// steady is what room there was in all of the last samples.
+func (w *waiting) steady() map[string]int {
+	out := maps.Clone(w.recent[0])
+	for _, slots := range w.recent[1:] {
+		for m, n := range out {
+			out[m] = min(n, slots[m])
+		}
+	}
+	return out
+}
+
 // Wants is a job as its users know it.
 type Wants struct {
 	Job      *wire.Job
@@ -106,23 +121,20 @@
 				slots[p.Machine], zones[p.Machine] = n, p.Zone
 			}
 		}
-		k := &waiting{since: now, idle: idle, slots: slots}
+		k := &waiting{since: now, idle: idle, recent: []map[string]int{slots}}
 		if b := before[j.ID]; b != nil && b.idle == idle {
-			both := map[string]int{}
-			for m, n := range b.slots {
-				both[m] = min(n, slots[m])
-			}
-			if fits(j, need, both, zones, w.On) {
-				k.since, k.slots, k.judged = b.since, both, b.judged
+			b.recent = append(b.recent, slots)
+			if b.recent = b.recent[max(0, len(b.recent)-steadySamples):]; fits(j, need, b.steady(), zones, w.On) {
+				k = b
 			}
 		}
-		if !fits(j, need, k.slots, zones, w.On) {
+		if !fits(j, need, k.steady(), zones, w.On) {
 			continue
 		}
 		r.waits[j.ID] = k
 		if waits := now.Sub(k.since); waits >= waitsInQuiet && !k.judged {
 			k.judged = true
-			text := fmt.Sprintf("left_waiting: %s (%s of %d, %s, %s, on %v) waits for %v while %v have room", j.ID, j.Shape, j.Tasks, j.Team, j.Priority, w.On, waits, k.slots)
+			text := fmt.Sprintf("left_waiting: %s (%s of %d, %s, %s, on %v) waits for %v while %v have room", j.ID, j.Shape, j.Tasks, j.Team, j.Priority, w.On, waits, k.steady())
 			if idle {
 				r.broken = append(r.broken, text)
 			} else {
