--- a/internal/standin/measures_test.go
+++ b/internal/standin/measures_test.go
@@ -70,10 +70,13 @@
 		on     map[int]string
 		used   float64 // of the team's 6 GPUs
 		gone   bool    // for a moment there is no room
+		turns  int     // for how many samples each machine has room in turn, with those before it
 		want   string  // none, idle or partly
 	}{
 		"an array":                         {job: job(wire.Array, 9, nil), places: two, want: "idle"},
 		"a machine is away for a moment":   {job: job(wire.Array, 9, nil), places: two, gone: true},
+		"machines take turns":              {job: job(wire.Array, 9, nil), places: two, turns: 12, want: "idle"},
+		"they do so fast":                  {job: job(wire.Array, 9, nil), places: two, turns: 3},
 		"full":                             {job: job(wire.Array, 9, nil), places: []Place{place("n-1", "a", 0.5)}},
 		"another zone":                     {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two[:1]},
 		"its zone":                         {job: job(wire.Array, 1, func(j *wire.Job) { j.Zone = "b" }), places: two, want: "idle"},
@@ -100,6 +103,9 @@
 		r.Over(begun.Add(30 * time.Second))
 		for at := time.Duration(0); at <= 123*time.Second; at += 3 * time.Second {
 			places := x.places
+			if n := int(at / (3 * time.Second)); x.turns > 0 && n%x.turns > 6 || x.turns > 0 && x.turns < 6 {
+				places = places[n/x.turns%2:][:1] // else both have it
+			}
 			if x.gone && at == time.Minute {
 				places = places[:0]
 			}
@@ -256,3 +262,35 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestToldByRealTime: of answers that overlap either may be the older one, in whatever order they
+// are told; one whose question left after an end was told must tell it.
+func TestToldByRealTime(t *testing.T) {
+	type told struct {
+		stage      wire.Stage
+		sent, back int64
+	}
+	for name, x := range map[string]struct {
+		told   []told
+		broken bool
+	}{
+		"in flight over the end":             {[]told{{wire.Cancelled, 5, 6}, {wire.Running, 4, 9}}, false},
+		"asked after it":                     {[]told{{wire.Cancelled, 5, 6}, {wire.Running, 7, 9}}, true},
+		"asked after it, told before it":     {[]told{{wire.Running, 7, 8}, {wire.Cancelled, 5, 6}}, true},
+		"asked before, told before, overlap": {[]told{{wire.Running, 4, 9}, {wire.Cancelled, 5, 6}}, false},
+		"two ends":                           {[]told{{wire.Cancelled, 5, 9}, {wire.Done, 5, 9}}, true},
+	} {
+		c := NewChecker(time.Minute, nil)
+		c.Submitted(&wire.Job{ID: "wk-1", Shape: wire.Array}, time.Second)
+		tell := func(x told) {
+			c.ToldAt("wk-1", 200, x.stage, true, time.Unix(0, x.sent), time.Unix(0, x.back))
+		}
+		tell(told{wire.Pending, 1, 2})
+		for _, a := range x.told {
+			tell(a)
+		}
+		if got := strings.Join(c.Broken(), "; "); strings.Contains(got, "went_back") != x.broken {
+			t.Errorf("%s: %q", name, got)
+		}
+	}
+}
