--- a/limits_sim_test.go
+++ b/limits_sim_test.go
@@ -24,12 +24,10 @@
 
 // limited makes a world in which every team has a limit.
 func limited(t *testing.T, count int, seed uint64, tamper func(*config.Config)) *world {
-	w := newWorldOf(t, count, seed, 0, func(c *config.Config) {
+	w := worldOfDoors(t, count, seed, func(c *config.Config) {
 		c.Teams = []config.Team{{Name: "red", GPUs: 4, GPUsMax: limits["red"]}, {Name: "blue", GPUsMax: limits["blue"]}}
-		ownStore(c)
 		tamper(c)
 	})
-	w.serveEach()
 	w.check.Limits = limits
 	return w
 }
@@ -76,7 +74,7 @@
 }{
 	{"cut off", func(w *world, m onMachine, d time.Duration) { lasting(d, func(on bool) { w.net.Down(m.host, on) }) }},
 	{"hanging", func(_ *world, m onMachine, d time.Duration) { m.worker.Hang(d) }},
-	{"deaf", func(_ *world, m onMachine, d time.Duration) { deaf(d, m.worker) }},
+	{"deaf", func(_ *world, m onMachine, d time.Duration) { lasting(d, m.worker.Deaf) }},
 	{"mute", func(w *world, m onMachine, d time.Duration) { lasting(d, func(on bool) { w.net.Mute(m.host, on) }) }},
 	{"held up", func(w *world, m onMachine, d time.Duration) { w.net.Hold(m.host, d) }},
 }
@@ -310,7 +308,7 @@
 // askAt makes a request as a user at all controllers in turn, from one on, until it is answered.
 func (w *world) askAt(first int, method, job, path string, body []byte, asked bool) {
 	for try := first; w.ctx.Err() == nil; try++ {
-		resp, err := w.reach(try%w.count, method, path, body)
+		resp, err := w.reach(try%w.count, 5*time.Second, method, path, body)
 		if err == nil && resp.Status < 429 {
 			var s wire.JobStatus
 			_ = wire.Decode(resp.Body, &s)
