--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -96,7 +96,8 @@
 	pl.plan.Stays = pl.stays
 	newest := make(map[string]*Job)
 	for _, j := range pl.Jobs {
-		if n := newest[j.Class]; n == nil || j.Order > n.Order {
+		// One that is bound to a zone says nothing of the room that others of its class find.
+		if n := newest[j.Class]; n == nil || n.Zone != "" && j.Zone == "" || (n.Zone == "") == (j.Zone == "") && j.Order > n.Order {
 			newest[j.Class] = j
 		}
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -205,3 +205,30 @@
 		}
 	}
 }
+
+// TestPieceAtItsLimit: of a gang that is mustered from several parts this one holds room for a single
+// task. Small tasks of its team come first and would take each bit of the limit as it comes
+// free: once the gang has waited for long, they don't.
+func TestPieceAtItsLimit(t *testing.T) {
+	for _, waited := range []time.Duration{30 * time.Second, 2 * time.Minute} {
+		piece, small := job("wk-1", wire.Gang, wire.Normal, 2, 0), job("wk-2", wire.Array, wire.Normal, 1, 0, 1, 2, 3)
+		piece.Hold, piece.Age = true, waited
+		p := picture([]*Job{small, piece}, machine("n-1", "a"))
+		p.Parts, p.BeginWithin, p.Teams["red"] = true, 4*time.Minute, &Team{GPUsMax: 3, UsedGPUs: 2}
+		if plan := Choose(p); len(plan.Launches) != map[bool]int{true: 1}[waited < time.Minute] {
+			t.Errorf("%d small tasks are started beside a gang that has waited for %v", len(plan.Launches), waited)
+		}
+	}
+}
+
+// TestRoomOfAClass: what a part tells of the room for a class does not go by a job that may not be
+// there, be it the newest.
+func TestRoomOfAClass(t *testing.T) {
+	free, bound := job("wk-1", wire.Array, wire.Normal, 1), job("wk-2", wire.Array, wire.Normal, 1)
+	free.Class, bound.Class, bound.Zone = "c", "c", "a"
+	p := picture([]*Job{free, bound}, machine("n-1", "b"))
+	p.Parts = true
+	if room := Choose(p).Rooms["c"]; room.Now != 4 {
+		t.Errorf("there is room for %d", room.Now)
+	}
+}
