A gang's slow fetch is not given up with the tasks that waited for it in vain

Where one machine held the image and another fetched it for longer than gang_wait_s, each attempt ended with the first alone, and the fetch was given up with it: the gang never began, beside room for all of it. Stand-ins give fetches up as the protocol says, and count them.

--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -332,13 +332,22 @@
 			continue
 		}
 		for _, p := range left {
-			if p.Stop == nil && !h.fleet.Withdraw(p) {
+			if p.Stop == nil && !h.fetchesOn(now, p) && !h.fleet.Withdraw(p) {
 				p.Stop = &fleet.Stop{Why: "gang is torn", Since: now}
 			}
 		}
 	}
 }
 
+// fetchMost is for how long a fetch is waited for that may be all that a gang lacks.
+const fetchMost = 3 * time.Minute
+
+// fetchesOn reports whether a task of a gang is left alone until it has its image. The others waited
+// for it in vain: were its fetch given up with them, the next attempt would wait in vain for the same.
+func (h *Holder) fetchesOn(now time.Time, p *fleet.Placement) bool {
+	return p.Seen && p.State == fleet.Fetching && h.history(p.Task.Job).alone == p.Attempt && now.Sub(p.Placed) < fetchMost
+}
+
 // piece tells how many tasks of a gang this part has: all, but of one that ran when the
 // state was divided anew.
 func (h *Holder) piece(l *store.LiveJob) int {
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -33,6 +33,7 @@
 	live      uint64      // the last revision at which it was seen live
 	since     time.Time   // when tasks of it first waited here
 	muster    mustered    // of a gang
+	alone     uint64      // the attempt of a gang of which a task waited for the others in vain
 }
 
 // Jobs is what is known of jobs, be they over.
@@ -376,6 +377,8 @@
 		if n := len(j.failed); n >= 3 {
 			j.notBefore = now.Add(min(2*time.Minute, time.Second<<min(n, 7)))
 		}
+	case wire.CauseAlone:
+		j.alone = p.Attempt
 	case wire.CauseNoRoom, wire.CauseBusy, wire.CauseUnknown:
 		h.log.Info("launch refused", "task", p.Task, "machine", p.Machine, "cause", p.Cause)
 		j.notBefore = now.Add(time.Second)
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -210,6 +210,24 @@
 	}
 }
 
+// giveUp ends the fetch of a task's image if no other task waits for it.
+func (w *Worker) giveUp(t *running) {
+	img := w.images[t.job.Image]
+	if img == nil || img.here {
+		return
+	}
+	for _, o := range w.tasks {
+		if o != t && o.job != nil && o.job.Image == t.job.Image && o.State == wire.TaskFetching {
+			return
+		}
+	}
+	w.fetched()
+	img.timer.Stop()
+	delete(w.images, t.job.Image)
+	w.retime()
+	w.yard.gaveUp(t.ID)
+}
+
 // evict forgets the images that were used least lately, as far as the cache is too small.
 func (w *Worker) evict() {
 	for {
@@ -337,6 +355,9 @@
 // gone stops what a task does and keeps its last checkpoint.
 func (w *Worker) gone(t *running) {
 	t.timer.Stop()
+	if t.job != nil && !t.on {
+		w.giveUp(t)
+	}
 	if t.job == nil || !t.on {
 		return
 	}
--- a/internal/standin/yard.go
+++ b/internal/standin/yard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,11 +39,26 @@
 	mu    sync.Mutex
 	saved map[wire.TaskID]time.Duration
 	gangs map[gangKey]*gang
+	vain  map[wire.TaskID]int // fetches that were given up
 }
 
 // NewYard gives a yard on a ground.
 func NewYard(g Ground, gangWait, gangPeer time.Duration) *Yard {
-	return &Yard{Ground: g, GangWait: gangWait, GangPeer: gangPeer, saved: map[wire.TaskID]time.Duration{}, gangs: map[gangKey]*gang{}}
+	return &Yard{Ground: g, GangWait: gangWait, GangPeer: gangPeer, saved: map[wire.TaskID]time.Duration{}, gangs: map[gangKey]*gang{}, vain: map[wire.TaskID]int{}}
+}
+
+// gaveUp notes that the fetch of a task's image ended before it had come.
+func (y *Yard) gaveUp(t wire.TaskID) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.vain[t]++
+}
+
+// GivenUp tells how many times the fetch of a task's image was given up, for each with any.
+func (y *Yard) GivenUp() map[wire.TaskID]int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return maps.Clone(y.vain)
 }
 
 // Saved tells what progress a task has saved; that of a gang is kept with its first task.
--- a/sim_test.go
+++ b/sim_test.go
@@ -48,6 +48,7 @@
 	echo   *standin.Echo
 	over   time.Time      // since when all troubles are; zero while nobody has said so
 	ground standin.Ground // on which the machines that come up are, the checker if it is not set
+	yard   *standin.Yard  // that they share
 }
 
 type node struct {
@@ -113,6 +114,7 @@
 // machine starts machines that report so often and get direct calls so late.
 func (w *world) machine(report time.Duration, late func() time.Duration) func(id, addr, typ, zone string, spot bool) standin.Machine {
 	names, yard := map[string]string{}, standin.NewYard(cmp.Or[standin.Ground](w.ground, w.check), 20*time.Second, 3*time.Second)
+	w.yard = yard
 	for i := range w.count {
 		names[fmt.Sprintf("c-%d", i)] = standin.Address(w.ip(i), 8080)
 	}
--- /dev/null
+++ b/slowlinks_sim_test.go
@@ -0,0 +1,36 @@
+package amberdeal
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestGangWaitsForASlowFetch: of two machines one holds the image of a gang, and the other fetches it for
+// longer than a task waits for its gang. Each attempt ends with the first task alone. Were the fetch
+// given up with it, the next one would end the same way, for ever, beside room for all of the gang.
+func TestGangWaitsForASlowFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 41, 0, nil)
+		w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Rooms = map[standin.Offer]int{{Type: "g4", Zone: "a"}: 2} })
+		big := func(j *wire.Job) { j.GPUs, j.CPUs, j.ImageGB, j.Image = 4, 8, 30, "big" }
+		w.submitter(41, jobOf("wk-1", wire.Array, 1, 10*time.Second, big), time.Second, 0, 10*time.Second)
+		for w.check.Stage("wk-1") != wire.Done {
+			time.Sleep(time.Second)
+		}
+		w.calm()
+		w.submitter(41, jobOf("wk-2", wire.Gang, 2, 10*time.Second, big, saves), time.Second, 0, 10*time.Second)
+		time.Sleep(2 * time.Minute)
+		if stage := w.check.Stage("wk-2"); stage != wire.Done {
+			t.Errorf("the gang is %q after two minutes, fetches given up: %v", stage, w.yard.GivenUp())
+		}
+		w.finish(3 * time.Minute)
+		w.judge()
+		if w.check.Started < 4 {
+			t.Errorf("%d starts: no task was alone", w.check.Started)
+		}
+	})
+}
