Nothing that fits stands beside room for more than a minute, whatever the room is held for

Headroom, gangs that gather, a team's limit taken up by its first, images that come for production and machines on which a job failed held room for as long as their causes lasted. One bound for all; and a back-off of 45 s at the most.

--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -33,6 +33,7 @@
 	live      uint64      // the last revision at which it was seen live
 	since     time.Time   // when tasks of it first waited here
 	muster    mustered    // of a gang
+	stands    time.Time   // since when no task of it is anywhere and some could be
 	alone     uint64      // the attempt of a gang of which a task waited for the others in vain
 }
 
@@ -104,11 +105,12 @@
 	resumed      bool        // every one but those that are silent
 	states       *zone.Zones // of zones
 	witnesses    map[string]zone.Witness
-	lastIn       map[string]time.Time // when a machine of each zone was last heard
-	strays       map[string]time.Time // and one that is of the fleet no more
-	silenced     []silenced           // machines that were given up for their silence
-	left         restore.Room         // that the last plan has left
-	hushed       map[string]time.Time // zones of which hardly a machine is heard here, and since when
+	lastIn       map[string]time.Time    // when a machine of each zone was last heard
+	strays       map[string]time.Time    // and one that is of the fleet no more
+	silenced     []silenced              // machines that were given up for their silence
+	left         restore.Room            // that the last plan has left
+	spells       map[string]*sched.Stood // by machine
+	hushed       map[string]time.Time    // zones of which hardly a machine is heard here, and since when
 	returns      map[string]*restore.Plan
 	uneven       bool                 // services are to be moved, by the last plan
 	roused       map[string]time.Time // zones of which a machine was heard again, and when
@@ -375,7 +377,7 @@
 			h.log.Warn("machine condemned", "machine", m.ID, "why", m.Draining)
 		}
 		if n := len(j.failed); n >= 3 {
-			j.notBefore = now.Add(min(2*time.Minute, time.Second<<min(n, 7)))
+			j.notBefore = now.Add(min(mostBackOff, time.Second<<min(n, 7)))
 		}
 	case wire.CauseAlone:
 		j.alone = p.Attempt
@@ -385,6 +387,10 @@
 	}
 }
 
+// mostBackOff bounds how long a job that fails again and again waits for its next try: it must not be
+// left waiting beside machines on which it may do.
+const mostBackOff = 45 * time.Second
+
 // finish marks a task as done; the tasks of a gang complete together.
 func (h *Holder) finish(t wire.TaskID, j *history) {
 	j.finished.Set(t.Index)
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -41,6 +41,7 @@
 	for _, m := range h.fleet.Machines() {
 		pic.Machines = append(pic.Machines, h.pictureMachine(now, m, jobs, pic.Teams))
 	}
+	h.lookStanding(now, pic, jobs)
 	for _, a := range h.rentals.Open() {
 		if !h.states.Of(a.Zone).Open(now) {
 			continue // nobody knows when it could be reached
@@ -59,6 +60,36 @@
 	return pic
 }
 
+// lookStanding notes which jobs have nothing anywhere, and what room there is beside them. A job that
+// can't be placed now waits for something else.
+func (h *Holder) lookStanding(now time.Time, pic *sched.Picture, jobs map[string]*sched.Job) {
+	for id, j := range jobs {
+		hist := h.jobs[id]
+		switch stands := len(j.Waiting) > 0 && j.Active == 0; {
+		case !stands && hist != nil:
+			hist.stands = time.Time{}
+		case stands && (hist == nil || hist.stands.IsZero()):
+			h.history(id).stands = now
+		case stands:
+			j.Stood = now.Sub(hist.stands)
+		}
+	}
+	if len(h.spells) > 2*len(pic.Machines) {
+		h.spells = nil // most of it is of machines that are gone
+	}
+	if h.spells == nil {
+		h.spells = make(map[string]*sched.Stood, len(pic.Machines))
+	}
+	for _, m := range pic.Machines {
+		s := h.spells[m.ID]
+		if s == nil {
+			s = new(sched.Stood)
+			h.spells[m.ID] = s
+		}
+		m.Long = s.Note(now, m.Free)
+	}
+}
+
 // ownTypes gives the machine types with the zones in which they are of this part.
 func (h *Holder) ownTypes() []wire.MachineType {
 	if h.group.Whole() {
--- a/internal/sched/gather_test.go
+++ b/internal/sched/gather_test.go
@@ -21,13 +21,14 @@
 	jobs     []*Job
 	left     map[*Job]map[int]time.Duration // until a task ends
 	waits    map[int][]time.Duration        // of gangs, by their size
+	stood    map[*Machine]*Stood
 }
 
 // largest is how many tasks the largest gangs have: two thirds of a zone.
 const largest = 16
 
 func newHall(seed uint64, machines int) *hall {
-	h := &hall{Rand: rand.New(rand.NewPCG(seed, 1)), left: map[*Job]map[int]time.Duration{}, waits: map[int][]time.Duration{}}
+	h := &hall{Rand: rand.New(rand.NewPCG(seed, 1)), left: map[*Job]map[int]time.Duration{}, waits: map[int][]time.Duration{}, stood: map[*Machine]*Stood{}}
 	for i := range machines {
 		h.machines = append(h.machines, &Machine{ID: fmt.Sprintf("n-%03d", i), Type: "g4", Zone: []string{"a", "b", "c"}[i%3]})
 	}
@@ -71,12 +72,19 @@
 			m.Tasks[i].Ran += time.Second
 			m.Free = m.Free.Plus(Of(t.Job.Job), -1)
 		}
+		if h.stood[m] == nil {
+			h.stood[m] = new(Stood)
+		}
+		m.Long = h.stood[m].Note(time.Unix(0, int64(h.now)), m.Free)
 	}
 	h.jobs = slices.DeleteFunc(h.jobs, func(j *Job) bool { return len(j.Waiting)+j.Active == 0 })
 	jobs := slices.Clone(h.jobs)
 	for _, j := range jobs {
 		j.Age += time.Second
 		j.elder, j.picks = 0, nil
+		if j.Stood += time.Second; j.Active > 0 {
+			j.Stood = 0
+		}
 	}
 	full := map[Offer]bool{}
 	for _, zone := range []string{"a", "b", "c"} {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -65,6 +65,7 @@
 	Fetches        []Fetch
 	Tasks          []Task
 	Idle           time.Duration // without any task, 0 while it has one
+	Long           Amount        // what has been free for long, see Stood
 
 	offer   int       // its offer's place in planner.offers
 	place   int       // of the job for which it would be rented
@@ -92,6 +93,7 @@
 	Waiting []int // tasks that are nowhere and may be placed
 	InZone  map[string]int
 	Active  int
+	Stood   time.Duration   // for how long no task of it was anywhere and some could have been
 	Ending  bool            // a gang of which tasks are still to leave
 	Avoid   map[string]bool // machines on which it failed
 	Rule    *Rule           // of a service; may be nil
@@ -266,6 +268,10 @@
 	for i := range p.Types {
 		pl.types[p.Types[i].Name] = &p.Types[i]
 	}
+	teams := make(map[string]Team, len(p.Teams)) // as they are, without what the plan holds
+	for name, t := range p.Teams {
+		teams[name] = *t
+	}
 	pl.index()
 	pl.order()
 	pl.value()
@@ -292,6 +298,7 @@
 	if !held {
 		pl.headroom()
 	}
+	pl.letIn(teams)
 	pl.rent()
 	pl.release()
 	pl.rooms()
--- a/slowlinks_sim_test.go
+++ b/slowlinks_sim_test.go
@@ -34,3 +34,26 @@
 		}
 	})
 }
+
+// TestNothingWaitsForALongFetch: the only machine that there is fetches weights for production, for minutes over a
+// slow link, and lesser work is kept from sharing that rate. It does not wait for as long as that.
+func TestNothingWaitsForALongFetch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 42, 0, nil)
+		w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Rooms = map[standin.Offer]int{{Type: "g4", Zone: "a"}: 1} })
+		w.calm()
+		w.submitter(42, jobOf("wk-1", wire.Service, 1, forever, func(j *wire.Job) { j.Image, j.ImageGB = "weights", 200 }), 0, 5*time.Minute, forever)
+		time.Sleep(20 * time.Second)
+		w.submitter(42, jobOf("wk-2", wire.Array, 1, 10*time.Second), 0, 0, 10*time.Second)
+		time.Sleep(40 * time.Second)
+		if w.check.Started > 0 {
+			t.Error("nothing was kept from the machine")
+		}
+		time.Sleep(45 * time.Second)
+		if w.check.Started != 1 || w.check.Running("wk-1") > 0 {
+			t.Errorf("%d starts after 85 s, %d of them of the service", w.check.Started, w.check.Running("wk-1"))
+		}
+		w.finish(5 * time.Minute)
+		w.judge()
+	})
+}
