--- /dev/null
+++ b/oldreports_sim_test.go
@@ -0,0 +1,196 @@
+package amberdeal
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/internal/store"
+	"amberdeal.example/amberdeal/internal/transport"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// Days on which reports from long ago reach every controller around a change of the leader.
+
+// drawer keeps reports to be delivered later.
+type drawer struct {
+	*world
+	kept  []wire.Report
+	was   uint64         // the term before that of the leader to whom they are to come
+	kinds map[string]int // of those that it answered
+}
+
+// keep has each machine make a report that nobody hears for now.
+func (d *drawer) keep() {
+	caller := &transport.Caller{Limit: 8 << 20, Dial: d.net.Host("10.3.0.5").Dial}
+	for _, m := range d.workers() {
+		ctx, cancel := context.WithTimeout(d.ctx, sec)
+		resp, err := caller.Call(ctx, standin.Address(m.host, 9000), "GET", wire.PathInspect, nil)
+		cancel()
+		var r wire.Report
+		if err == nil && wire.Decode(resp.Body, &r) == nil {
+			d.kept = append(d.kept, r)
+		}
+	}
+}
+
+// inA gives the machines in zone a, which is a part where the fleet is divided.
+func (d *drawer) inA() (out []upMachine) {
+	in := map[string]bool{}
+	d.cloud.Each(func(l wire.ListedMachine, _ standin.Machine) { in[l.ID] = l.Zone == "a" })
+	for _, m := range d.workers() {
+		if in[m.id] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// kind says what a report is of, by what is so now.
+func (d *drawer) kind(r *wire.Report, now map[string]bool) (kinds []string) {
+	add := func(is bool, kind string) {
+		if is {
+			kinds = append(kinds, kind)
+		}
+	}
+	add(!now[r.Machine], "of a machine that is gone")
+	add(slices.ContainsFunc(d.kept, func(o wire.Report) bool { return o.Machine == r.Machine && o.Session > r.Session }), "of an earlier session")
+	add(r.Term < d.was, "of an earlier term")
+	add(len(r.Tasks) == 0, "from before a launch")
+	for _, t := range r.Tasks {
+		add(strings.HasPrefix(t.Task, "wk-4/"), "from before an end")
+	}
+	return kinds
+}
+
+// deliver has all that was kept reach every controller, in the order in which it was made, or from the
+// newest on.
+func (d *drawer) deliver(newest bool) {
+	now := map[string]bool{}
+	for _, m := range d.workers() {
+		now[m.id] = true
+	}
+	caller := &transport.Caller{Limit: 8 << 20, Dial: d.net.Host("10.4.0.1").Dial}
+	for k := range d.kept {
+		r := &d.kept[k]
+		if newest {
+			r = &d.kept[len(d.kept)-1-k]
+		}
+		for i := range d.count {
+			ctx, cancel := context.WithTimeout(d.ctx, sec)
+			resp, err := caller.Call(ctx, standin.Address(d.ip(i), 8080), "POST", wire.PathReport, wire.Encode(r))
+			cancel()
+			var a wire.Answer
+			if err != nil || resp.Status != 200 || wire.Decode(resp.Body, &a) != nil || a.Term <= d.was {
+				continue
+			}
+			for _, kind := range d.kind(r, now) {
+				d.kinds[kind]++
+			}
+		}
+	}
+}
+
+// oldKinds are what must have reached a leader.
+var oldKinds = []string{"of a machine that is gone", "of an earlier session", "of an earlier term", "from before a launch", "from before an end"}
+
+// The instants after a claim at which old reports come: with its write, until the fleet is rebuilt, with the
+// first rounds, when silent machines are waited for no longer or given up, and when leases are over. A
+// negative one is from the end of the leader until the claim.
+var oldInstants = []time.Duration{-1, 0, 15 * time.Millisecond, 60 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond,
+	2 * sec, 4100 * time.Millisecond, 6 * sec, 12 * sec, 19 * sec, 27 * sec}
+
+// TestOldReportsAtNextLeader: reports of earlier sessions and terms, from before launches and ends, and of a
+// machine that is gone, reach every controller as a new leader begins, to which all of them are
+// news. Half of the machines are cut off just then, so that hardly anything else is heard of
+// them. Nothing starts twice, or where it must not, for all that these reports show or lack; and
+// they hold nothing up for long.
+func TestOldReportsAtNextLeader(t *testing.T) {
+	for n, at := range oldInstants {
+		for k := range 4 {
+			if !wide("AMBERDEAL_OLDREPORTS") && (k != n%4 || n%3 != 1) {
+				continue
+			}
+			by, count, dark, slow := []string{"off", "zone"}[k%2], []int{3, 5}[k/2], []time.Duration{8 * sec, 17 * sec, 40 * sec}[(n+k)%3], (n+k/2)%2 == 0
+			t.Run(fmt.Sprint("after ", at, ", parts ", by, ", ", count, ", cut for ", dark, ", the lease runs out: ", slow), func(t *testing.T) {
+				oldDay(t, uint64(100+4*n+k), at, by, count, dark, slow)
+			})
+		}
+	}
+}
+
+func oldDay(t *testing.T, seed uint64, at time.Duration, by string, count int, dark time.Duration, slow bool) {
+	var d *drawer
+	var claimed chan struct{}
+	lastly := func(w *world) int { return w.holder(map[string]string{"off": "fleet", "zone": "a"}[by]) }
+	day{seed: seed, count: count, set: func(c *config.Config) { c.Tuning.Parts.By = by }, begin: func(w *world) {
+		d, claimed = &drawer{world: w, kinds: map[string]int{}}, make(chan struct{}, 100)
+		w.store.Stage(func(s *standin.Store) {
+			s.Took = func(puts []string) {
+				for _, key := range puts {
+					if key == store.TermKey {
+						claimed <- struct{}{}
+					}
+				}
+			}
+		})
+		w.submitter(seed, jobOf("wk-1", wire.Array, 9, 70*sec, red), 6*sec, 0, 70*sec) // up to its team's limit
+		w.submitter(seed, jobOf("wk-2", wire.Gang, 3, 80*sec, oneZone, saves), 6*sec, 0, 80*sec)
+		w.submitter(seed, jobOf("wk-3", wire.Service, 4, 0, spread), 6*sec, 4*time.Minute, forever)
+		w.submitter(seed, jobOf("wk-4", wire.Array, 3, 14*sec), 6*sec, 0, 14*sec)
+		w.submitter(seed, jobOf("wk-5", wire.Array, 4, 60*sec, oneZone), 25*sec, 0, 60*sec)
+		w.group.Go(func() {
+			for range 9 {
+				time.Sleep(4700 * time.Millisecond)
+				d.keep()
+			}
+		})
+	}, steps: []step{
+		{22 * sec, "a machine is deaf, until its lease is over", func(w *world) { deaf(24*sec, d.inA()[0]) }},
+		{34 * sec, "a machine dies", func(w *world) { w.cloud.Die(d.inA()[1].id) }},
+		{50 * sec, "the leader ends", func(w *world) { w.crash(lastly(w), 300*time.Millisecond, 0) }},
+		{58 * sec, "some more reports are made", func(*world) { d.keep() }},
+		{60 * sec, "the next leader ends, machines are cut off, old reports come", func(w *world) {
+			for i, m := range w.workers() {
+				if i%2 == 0 {
+					lasting(dark, func(on bool) { w.net.Down(m.host, on) })
+				}
+			}
+			for len(claimed) > 0 {
+				<-claimed
+			}
+			d.was = w.term()
+			if i := lastly(w); slow {
+				w.kill(i, 12*sec)
+			} else {
+				w.crash(i, 300*time.Millisecond, 0)
+			}
+			for at < 0 && len(claimed) == 0 {
+				d.deliver(seed%2 == 0)
+				time.Sleep(100 * time.Millisecond)
+			}
+			<-claimed
+			time.Sleep(at)
+			for k := range 8 { // the first of them may find nobody who answers
+				if d.deliver((seed+uint64(k))%2 == 0); k > 0 && len(d.kinds) == len(oldKinds) {
+					break
+				}
+			}
+			time.Sleep(dark + 40*sec)
+			if n := w.check.Running("wk-3"); n != 4 {
+				w.t.Errorf("%d of 4 replicas run", n)
+			}
+		}},
+	}, came: func(w *world) {
+		for _, kind := range oldKinds {
+			if d.kinds[kind] == 0 {
+				w.t.Errorf("none that was %s was answered by the leader", kind)
+			}
+		}
+	}, quiet: 60 * sec}.play(t)
+}
