--- a/flood_sim_test.go
+++ b/flood_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -49,6 +50,7 @@
 	*world
 	*standin.Checker
 	luck  *rand.Rand
+	slow  *rand.Rand
 	mu    sync.Mutex
 	drops map[string]*drop
 	order []*drop
@@ -155,24 +157,10 @@
 			runtime.ReadMemStats(&m)
 			f.heap = append(f.heap, m.HeapAlloc)
 		}
-		if os.Getenv("FLOOD_LOG") != "" {
-			req, ch, _ := f.store.Counts()
-			fmt.Fprintln(os.Stderr, time.Now().Format("15:04:05"), keys, req, ch)
-		}
 		time.Sleep(5 * time.Second)
 	}
 }
 
-// spreadOf tells how many there are, the middle, the worst hundredth and the worst.
-func spreadOf(list []time.Duration) string {
-	if len(list) == 0 {
-		return "none"
-	}
-	slices.Sort(list)
-	r := func(q float64) time.Duration { return list[int(q*float64(len(list)-1))].Round(10 * time.Millisecond) }
-	return fmt.Sprint(len(list), ": ", r(0.5), " ", r(0.99), " ", r(1))
-}
-
 func newFlood(t *testing.T, s site) *flood {
 	w := newWorldOf(t, s.count, 1, 0, func(c *config.Config) {
 		c.Store, c.Tuning.History = s.store, config.DefaultTuning().History
@@ -181,7 +169,7 @@
 		st.Limits = standin.Limits{RPS: s.store.RPS, WriteRPS: s.store.WriteRPS, ValueBytes: s.store.ValueBytes, TxnOps: s.store.TxnOps, Kept: 1000}
 		st.Delay = usual
 	})
-	f := &flood{world: w, Checker: w.check, luck: rand.New(rand.NewPCG(1, 7)), drops: map[string]*drop{}}
+	f := &flood{world: w, Checker: w.check, luck: rand.New(rand.NewPCG(1, 7)), slow: rand.New(rand.NewPCG(1, 9)), drops: map[string]*drop{}}
 	w.ground = f
 	w.machines(2*time.Second, func() time.Duration { return 0 })
 	w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Capacity = 15 })
@@ -191,66 +179,161 @@
 // usual is how long the state service takes.
 func usual() time.Duration { return 6 * time.Millisecond }
 
-func TestFloodTrial(t *testing.T) {
-	mode := os.Getenv("FLOOD_MODE")
-	for _, s := range sites() {
-		t.Run(s.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFlood(t, s)
-				w := f.world
-				time.Sleep(10 * time.Second)
-				w.asking.Go(f.count)
-				minutes := 3
-				fmt.Sscan(os.Getenv("FLOOD_MIN"), &minutes)
-				if strings.Contains(mode, "leader") {
-					for _, at := range []time.Duration{60 * time.Second, 120 * time.Second} {
-						time.AfterFunc(at, func() { w.crash(w.leader(), 3*time.Second, 0) })
-					}
-				}
-				slow := rand.New(rand.NewPCG(1, 9))
-				stage := func(set func(st *standin.Store, on bool)) {
-					time.AfterFunc(50*time.Second, func() {
-						lasting(60*time.Second, func(on bool) { w.store.Stage(func(st *standin.Store) { set(st, on) }) })
-					})
-				}
-				if strings.Contains(mode, "slow") {
-					stage(func(st *standin.Store, on bool) {
-						if st.Delay = usual; on {
-							st.Delay = func() time.Duration { return time.Duration(300+w.draw(slow, 700)) * time.Millisecond }
-						}
-					})
-				}
-				if strings.Contains(mode, "lossy") {
-					stage(func(st *standin.Store, on bool) { st.Lossy = map[bool]float64{true: 0.3}[on] })
-				}
-				f.pour(time.Duration(minutes) * time.Minute)
-				time.Sleep(60 * time.Second)
-				a := w.account()
-				w.finish(3 * time.Minute)
-				var acc, can, start, late []time.Duration
-				most := 0
-				for _, k := range f.keys {
-					most = max(most, k["batch"])
-				}
-				for _, d := range f.order {
-					acc = append(acc, d.accepted.Sub(d.come))
-					if !d.asked.IsZero() {
-						can = append(can, d.told.Sub(d.asked))
-					}
-					if !d.begun.IsZero() {
-						start = append(start, d.begun.Sub(d.accepted))
-					}
-					if !d.seen.IsZero() {
-						late = append(late, d.seen.Sub(d.ended))
-					}
-				}
-				left := 0
-				if k := a.Kinds["batch"]; k != nil {
-					left = k.Keys
+// floodTroubles come in the second minute of a flood. took is by how much they may put off what users wait for:
+// a leader's successor begins once the lease has run out, and knows what runs after rebuildWait.
+var floodTroubles = map[string]struct {
+	cast func(f *flood)
+	took time.Duration
+}{
+	"calm": {func(*flood) {}, 0},
+	"the leader changes twice": {func(f *flood) {
+		for _, at := range []time.Duration{0, 50 * time.Second} {
+			time.AfterFunc(at, func() { f.crash(f.leader(), 3*time.Second, 0) })
+		}
+	}, 9*time.Second + 4*time.Second},
+	"the state service is slow": {func(f *flood) {
+		lasting(60*time.Second, func(on bool) {
+			f.store.Stage(func(st *standin.Store) {
+				if st.Delay = usual; on {
+					st.Delay = func() time.Duration { return time.Duration(300+f.draw(f.slow, 700)) * time.Millisecond }
 				}
-				t.Logf("accept %s; cancel %s; start %s; done %s; batches %d, after %d heap %v", spreadOf(acc), spreadOf(can), spreadOf(start), spreadOf(late), most, left, f.heap)
-				w.judge()
 			})
 		})
+	}, 4 * time.Second}, // a read, a write and the two before them
+	"writes get no answer": {func(f *flood) {
+		lasting(60*time.Second, func(on bool) {
+			f.store.Stage(func(st *standin.Store) { st.Lossy = map[bool]float64{true: 0.3}[on] })
+		})
+	}, 10 * time.Second}, // some of them four times, which takes 2.5 s each
+}
+
+// play pours for some minutes, and has all bounds judged that follow from the settings.
+func (f *flood) play(s site, trouble string, minutes int) {
+	t, x := f.t, floodTroubles[trouble]
+	time.Sleep(10 * time.Second)
+	f.asking.Go(f.count)
+	term, begun := f.term(), time.Now()
+	_, changes, _ := f.store.Counts()
+	time.AfterFunc(time.Minute, func() { x.cast(f) })
+	f.pour(time.Duration(minutes) * time.Minute)
+	_, after, _ := f.store.Counts()
+	spent := float64(after-changes) / time.Since(begun).Seconds()
+	time.Sleep(75 * time.Second) // all have ended, and what is over waits for 15 s at the most to be folded
+	left := f.account()
+	f.calm()
+	f.finish(3 * time.Minute)
+
+	full := !strings.HasPrefix(s.name, "half")
+	const attempt = 5*time.Second + time.Second // a request without an answer, and the pause before the next
+	bounds := map[string]struct{ most, worst time.Duration }{
+		"accepted":  {most: writePatience + x.took},
+		"cancelled": {most: writePatience + x.took},
+		// An array waits for room that others will leave for two boots, or has a machine rented, which
+		// boots and is then heard; and it fetches.
+		"begun": {most: 3*5*time.Second + 4*time.Second + time.Second + x.took},
+		"told":  {most: 3*time.Second + x.took},
+	}
+	if x.took > 0 {
+		for _, what := range []string{"accepted", "cancelled"} {
+			b := bounds[what]
+			b.most += attempt
+			bounds[what] = b
+		}
+	}
+	if !full {
+		b := bounds["told"] // a round's share of changes for a second, in which all that has gathered is told
+		b.most += 4 * time.Second
+		bounds["told"] = b
+	}
+	cancelled, ended := 0, 0
+	for _, d := range f.order {
+		took := map[string]time.Duration{"accepted": d.accepted.Sub(d.come)}
+		if !d.told.IsZero() {
+			took["cancelled"] = d.told.Sub(d.asked)
+			cancelled++
+		}
+		if !d.begun.IsZero() {
+			took["begun"] = d.begun.Sub(d.accepted)
+		}
+		if !d.seen.IsZero() {
+			took["told"] = d.seen.Sub(d.ended)
+			ended++
+		}
+		for what, d := range took {
+			b := bounds[what]
+			b.worst = max(b.worst, d)
+			bounds[what] = b
+		}
+	}
+	for what, b := range bounds {
+		t.Logf("%s after %v at the most", what, b.worst.Round(10*time.Millisecond))
+		if b.worst > b.most {
+			t.Errorf("%s after %v, not within %v", what, b.worst, b.most)
+		}
+	}
+	// It was a flood: four a second, a quarter cancelled, most of the others done.
+	n := len(f.order)
+	t.Logf("%d jobs, %d cancelled, %d ended, %.1f changes a second of %v", n, cancelled, ended, spent, s.store.WriteRPS)
+	if n < minutes*60*7/2 || cancelled < n/5 || ended < n/2 {
+		t.Errorf("%d jobs in %d minutes, %d cancelled, %d ended", n, minutes, cancelled, ended)
+	}
+	if strings.Contains(trouble, "leader") && f.term() < term+2 {
+		t.Error("the leader has not changed twice")
+	}
+	// Keys: of jobs that live, of such as are over and wait for 15 s to be folded, and what comes while nobody folds.
+	lives := bounds["begun"].most + 12*time.Second + 15*time.Second + x.took
+	most, batches := int(4.5*lives.Seconds()), 0
+	for _, k := range f.keys {
+		batches = max(batches, k["batch"])
+		if k["ledger"] > 8 || k["recent"] > 8 {
+			t.Errorf("%d slots and %d recent blocks", k["ledger"], k["recent"])
+		}
+	}
+	kept := 0
+	if k := left.Kinds["batch"]; k != nil {
+		kept = k.Keys
+	}
+	t.Logf("%d batches at the most, %d left", batches, kept)
+	switch {
+	case full && (batches > most || kept > 0):
+		t.Errorf("%d batches at the most, %d left: more than %d", batches, kept, most)
+	case !full: // what is spent on one job is more than there is: folding has its floor, and goes on after
+		floor := s.store.WriteRPS * (1/(2*float64(s.count)) + 0.5) / 8 * float64(minutes) * 60 / 2
+		if folded := n - batches; float64(folded) < floor {
+			t.Errorf("only %d of %d jobs were folded meanwhile, not %.0f", folded, n, floor)
+		}
+		if kept > batches*3/4 {
+			t.Errorf("%d of %d batches are left after 75 s", kept, batches)
+		}
+	}
+	// Memory: an hour of this takes less than a quarter of a controller's 200 MB.
+	if from, to := 3, minutes; to-from >= 2 && len(f.heap) > to {
+		grown := (float64(f.heap[to]) - float64(f.heap[from])) / float64(to-from) * 60 / float64(s.count)
+		t.Logf("the heap grows by %.1f MB an hour and controller: %v", grown/1e6, f.heap)
+		if grown > 50e6 {
+			t.Errorf("the heap grows by %.1f MB an hour and controller: %v", grown/1e6, f.heap)
+		}
+	}
+	f.judge()
+}
+
+// writePatience is for how long a controller tries to write what a user waits for.
+const writePatience = 3500 * time.Millisecond
+
+// TestFlood plays floods, each with a trouble of its own. AMBERDEAL_FLOODS plays all sites and troubles, for
+// so many minutes.
+func TestFlood(t *testing.T) {
+	minutes := 0
+	fmt.Sscan(os.Getenv("AMBERDEAL_FLOODS"), &minutes)
+	short := map[string]string{"half of three": "the leader changes twice", "five": "the state service is slow"}
+	for _, s := range sites() {
+		for _, trouble := range slices.Sorted(maps.Keys(floodTroubles)) {
+			if minutes == 0 && short[s.name] != trouble {
+				continue
+			}
+			t.Run(s.name+", "+trouble, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { newFlood(t, s).play(s, trouble, max(minutes, 2)) })
+			})
+		}
 	}
 }
--- /dev/null
+++ b/zonebound_sim_test.go
@@ -0,0 +1,180 @@
+package amberdeal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// What becomes of jobs that are bound to a zone and lose machines there: one_zone gangs, arrays and services, and
+// such as name a zone. While a task may be where it was, none of a job starts in another zone; once all are
+// proven gone, or done, the rest goes wherever it may.
+
+// zoneLoss is how the machines of a zone are lost. gone says that the cloud itself ends them.
+var zoneLosses = []struct {
+	name string
+	cast func(w *world, lost []upMachine, d time.Duration)
+}{
+	{"die", func(w *world, lost []upMachine, _ time.Duration) {
+		for _, m := range lost {
+			w.cloud.Die(m.id)
+		}
+	}},
+	{"are taken", func(w *world, lost []upMachine, _ time.Duration) {
+		for i, m := range lost {
+			w.cloud.TakeBack(m.id, time.Duration(i%3)*4*time.Second)
+		}
+	}},
+	{"hang", func(_ *world, lost []upMachine, d time.Duration) {
+		for _, m := range lost {
+			m.Hang(d)
+		}
+	}},
+	{"are cut off", func(w *world, lost []upMachine, d time.Duration) {
+		for _, m := range lost {
+			lasting(d, func(on bool) { w.net.Down(m.host, on) })
+		}
+	}},
+	{"are cut off with their zone", func(w *world, lost []upMachine, d time.Duration) {
+		zone := w.cloud.ZoneOf(lost[0].host + ":9000")
+		lasting(d, func(on bool) { w.net.Apart(zone, on) })
+	}},
+	{"hear nothing", func(_ *world, lost []upMachine, d time.Duration) { deaf(d, lost...) }},
+}
+
+// bound sees where tasks of a job start.
+type bound struct {
+	*standin.Checker
+	mu    sync.Mutex
+	zones map[string][]string // of a job's starts, in order
+}
+
+func (b *bound) On(t wire.TaskID, machine, typ, zone string, spot bool) (time.Duration, bool) {
+	b.mu.Lock()
+	b.zones[t.Job] = append(b.zones[t.Job], zone)
+	b.mu.Unlock()
+	return b.Checker.On(t, machine, typ, zone, spot)
+}
+
+func (b *bound) starts(job string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.zones[job])
+}
+
+// zoneDay loses the machines of the zone in which most one_zone jobs are, or all but one of them, for a while. What may
+// start elsewhere does, what may not goes on where it is once machines are there again.
+func zoneDay(t *testing.T, loss, count int, by string, d time.Duration, all bool, seed uint64) (moved int) {
+	x := zoneLosses[loss]
+	w := newWorldOf(t, count, seed, 0, func(c *config.Config) {
+		c.Zone = []string{"a", "b"}[numberOf(c.Name)%2]
+		c.Tuning.Parts.By = by
+	})
+	b := &bound{Checker: w.check, zones: map[string][]string{}}
+	w.ground = b
+	w.machines(2*time.Second, func() time.Duration { return 0 })
+	w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Capacity = 6 })
+	luck := rand.New(rand.NewPCG(seed, 31))
+	var free, tied []string // jobs that may go elsewhere, and such as name their zone
+	for i, shape := range []wire.Shape{wire.Gang, wire.Array, wire.Service, wire.Array, wire.Gang, wire.Array, wire.Array, wire.Service} {
+		id, runs := fmt.Sprint("wk-", i+1), []time.Duration{100 * time.Second}
+		cancel := time.Duration(0)
+		j := jobOf(id, shape, 2+i%3, runs[0])
+		switch j.Spot = i%2 == 0; {
+		case i < 6:
+			j.OneZone = true
+			free = append(free, id)
+		default:
+			j.Zone = "a"
+			tied = append(tied, id)
+		}
+		switch shape {
+		case wire.Service:
+			runs, cancel = []time.Duration{forever}, 7*time.Minute
+		case wire.Array: // some have ended by the time of the loss, and bind the rest no more
+			runs = []time.Duration{15 * time.Second, 100 * time.Second, 130 * time.Second}
+		case wire.Gang:
+			saves(j)
+		}
+		w.submitter(seed, j, time.Duration(1000+luck.IntN(3000))*time.Millisecond, cancel, runs...)
+	}
+	time.Sleep(50 * time.Second)
+	in := map[string]int{}
+	for _, id := range free {
+		if s := b.starts(id); len(s) > 0 {
+			in[s[0]]++
+		}
+	}
+	zone := "a"
+	if in["b"] > in["a"] {
+		zone = "b"
+	}
+	var lost []upMachine
+	for _, m := range w.workers() {
+		if w.cloud.ZoneOf(m.host+":9000") == zone {
+			lost = append(lost, m)
+		}
+	}
+	if !all && len(lost) > 1 {
+		lost = lost[:len(lost)-1] // some tasks of a job are still there
+	}
+	if len(lost) == 0 || in[zone] == 0 {
+		t.Errorf("nothing is bound to a zone: %v, %d machines", in, len(lost))
+		return 0
+	}
+	before := map[string]int{}
+	for _, id := range append(free, tied...) {
+		before[id] = len(b.starts(id))
+	}
+	log("machines of", zone, x.name, "for", d)
+	x.cast(w, lost, d)
+	time.Sleep(max(d, 10*time.Second))
+	w.close(100*time.Second, 10*time.Minute)
+	for _, id := range free {
+		if s := b.starts(id); len(s) > before[id] && s[len(s)-1] != s[0] {
+			moved++
+		}
+	}
+	for _, id := range tied {
+		if s := b.starts(id); slices.Contains(s, "b") {
+			t.Errorf("%s is bound to a and started in %v", id, s)
+		}
+	}
+	return moved
+}
+
+// TestZoneBound plays each loss, short of a lease and beyond it, of some and of all machines of a zone. AMBERDEAL_ZONEBOUND
+// plays them with 3 and 5 controllers, in one part and in two, for so many seeds.
+func TestZoneBound(t *testing.T) {
+	seeds, moved := 0, 0
+	fmt.Sscan(os.Getenv("AMBERDEAL_ZONEBOUND"), &seeds)
+	for i, x := range zoneLosses {
+		for k, d := range []time.Duration{12 * time.Second, 35 * time.Second} {
+			for n := range max(1, 4*seeds) {
+				count, by, all := 3+2*(n%2), []string{"off", "zone"}[n/2%2], (i+k+n)%2 == 0
+				if seeds == 0 {
+					if (i+k)%2 == 1 || i == 1 || i == 4 {
+						continue
+					}
+					count, by = 3+2*(i%2), []string{"off", "zone"}[i/2%2]
+				}
+				t.Run(fmt.Sprint(x.name, " for ", d, ", all ", all, ", ", count, " controllers, parts ", by, ", ", n/4), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) { moved += zoneDay(t, i, count, by, d, all, uint64(n/4*100+i*10+k)) })
+				})
+			}
+		}
+	}
+	t.Logf("%d jobs went on in another zone", moved)
+	if moved == 0 {
+		t.Error("no job went on in another zone")
+	}
+}
