--- a/internal/round/grant.go
+++ b/internal/round/grant.go
@@ -35,6 +35,7 @@
 
 // spend sets what the part may use of a team's limits, and what others use.
 func (h *Holder) spend(t *sched.Team, name string) {
+	t.AllCPUs, t.AllGPUs = t.CPUsMax, t.GPUsMax
 	own := h.grants.seen.Record.Teams[name][h.held.Part]
 	if h.overGranted(name, t) {
 		used := h.used()[name] // what an earlier grouping left to give back comes first
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -36,9 +36,15 @@
 	Coming, None int
 }
 
-// want notes tasks that a team's grant holds back.
+// want notes tasks that a team's grant holds back. Those for which the limit of all parts together
+// has no room beside what is used here are none of them: a part that kept a rest of the limit
+// for them would keep it from smaller work in others for nothing.
 func (pl *planner) want(j *Job, tasks int) {
-	if !pl.Parts || tasks <= 0 {
+	most := pl.Teams[j.Team].most(Of(j.Job))
+	if j.Shape == wire.Gang && tasks > most {
+		return
+	}
+	if tasks = min(tasks, most); !pl.Parts || tasks <= 0 {
 		return
 	}
 	if pl.plan.Wants == nil {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -135,6 +135,20 @@
 	CPUs, GPUs, CPUsMax, GPUsMax float64
 	UsedCPUs, UsedGPUs           float64
 	ElseCPUs, ElseGPUs           float64 // what other parts use, as last told
+	AllCPUs, AllGPUs             float64 // limits of all parts together, 0 for none; CPUsMax and GPUsMax are this part's
+}
+
+// most is how many tasks more the team could have here if this part were granted all that there is.
+func (t *Team) most(need Amount) int {
+	const dust = 1e-6
+	n := float64(wire.MaxTasks)
+	if t.AllCPUs > 0 && need.CPUs > 0 {
+		n = min(n, (t.AllCPUs-t.UsedCPUs+dust)/need.CPUs)
+	}
+	if t.AllGPUs > 0 && need.GPUs > 0 {
+		n = min(n, (t.AllGPUs-t.UsedGPUs+dust)/need.GPUs)
+	}
+	return int(max(0, n))
 }
 
 func (t *Team) allows(a Amount) bool {
--- /dev/null
+++ b/waiting_sim_test.go
@@ -0,0 +1,83 @@
+package amberdeal
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/config"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// TestNoJobWaitsBesideRoom: with no trouble at all, work that can't begin yet stands before a job for
+// which there is room and which its team's limit leaves room for: the job begins. AMBERDEAL_WAITING
+// plays it in one part too.
+func TestNoJobWaitsBesideRoom(t *testing.T) {
+	type come struct {
+		shape    wire.Shape
+		team     string
+		priority wire.Priority
+		tasks    int
+		gpus     float64
+		run      time.Duration
+		change   func(*wire.Job)
+	}
+	const long = 10 * time.Minute
+	for name, jobs := range map[string][]come{
+		"a task of its team needs more than the limit leaves": {
+			{wire.Array, "red", wire.High, 2, 4, 4 * time.Minute, nil},
+			{wire.Service, "blue", wire.Production, 3, 1, long, nil},
+			{wire.Array, "red", wire.Normal, 1, 1, 20 * time.Second, nil}},
+		"one of the same priority does": {
+			{wire.Array, "red", wire.Normal, 2, 4, 4 * time.Minute, nil},
+			{wire.Service, "blue", wire.Production, 3, 1, long, nil},
+			{wire.Array, "red", wire.Normal, 2, 1, 20 * time.Second, nil}},
+		"a gang of its team does": {
+			{wire.Service, "red", wire.Production, 1, 1, long, nil},
+			{wire.Gang, "red", wire.High, 3, 2, 20 * time.Second, nil},
+			{wire.Array, "red", wire.Low, 1, 1, 20 * time.Second, nil}},
+		"a gang needs more than the cloud has": {
+			{wire.Service, "blue", wire.Production, 9, 1, long, nil},
+			{wire.Gang, "blue", wire.High, 9, 4, 20 * time.Second, nil},
+			{wire.Array, "blue", wire.Low, 1, 1, 20 * time.Second, nil},
+			{wire.Gang, "blue", wire.Low, 2, 1, 20 * time.Second, nil}},
+		"a gang needs more than its zone has": {
+			{wire.Service, "blue", wire.Production, 5, 1, long, func(j *wire.Job) { j.Zone = "a" }},
+			{wire.Gang, "blue", wire.High, 5, 4, 20 * time.Second, func(j *wire.Job) { j.OneZone = true }},
+			{wire.Array, "blue", wire.Low, 1, 1, 20 * time.Second, func(j *wire.Job) { j.Zone = "a" }}},
+		"an array is larger than the cloud": {
+			{wire.Service, "blue", wire.Production, 4, 3, long, nil},
+			{wire.Array, "blue", wire.High, 40, 4, 4 * time.Minute, nil},
+			{wire.Array, "blue", wire.Low, 1, 1, 20 * time.Second, nil}},
+		"production that is spread finds its zone full": {
+			{wire.Array, "blue", wire.High, 4, 4, long, func(j *wire.Job) { j.Zone = "b" }},
+			{wire.Service, "blue", wire.Production, 4, 3, long, func(j *wire.Job) { j.Spread = true }},
+			{wire.Array, "blue", wire.Low, 2, 1, 20 * time.Second, func(j *wire.Job) { j.OneZone = true }}},
+	} {
+		for _, by := range []string{"zone", "off"} {
+			if by == "off" && os.Getenv("AMBERDEAL_WAITING") == "" {
+				continue
+			}
+			t.Run(fmt.Sprint(name, ", parts ", by), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t, 71, 0, func(c *config.Config) { c.Tuning.Parts.By = by })
+					time.Sleep(8 * time.Second)
+					for i, c := range jobs {
+						j := &wire.Job{ID: fmt.Sprint("wk-", i+1), Class: "c", Team: c.team, Shape: c.shape, Priority: c.priority, Tasks: c.tasks, CPUs: 1, GPUs: c.gpus, MemoryGB: 4, Image: "img", ImageGB: 1, EstimateS: c.run.Seconds()}
+						if c.change != nil {
+							c.change(j)
+						}
+						w.user(j, c.run, 4*time.Minute)
+						time.Sleep(20 * time.Second)
+					}
+					w.calm()
+					time.Sleep(150 * time.Second)
+					w.finish(20 * time.Minute)
+					w.judge()
+				})
+			})
+		}
+	}
+}
