--- a/internal/round/grant.go
+++ b/internal/round/grant.go
@@ -36,6 +36,7 @@
 
 // spend sets what the part may use of a team's limits, and what others use.
 func (h *Holder) spend(now time.Time, t *sched.Team, name string) {
+	t.AllCPUs, t.AllGPUs = t.CPUsMax, t.GPUsMax
 	own := h.grants.seen.Record.Teams[name][h.held.Part]
 	give := h.overGranted(name, t) // what an earlier grouping left to give back comes first
 	if h.holdsBack(now, name, *t) {
