--- a/guards_test.go
+++ b/guards_test.go
@@ -63,7 +63,7 @@
 				}
 			}
 			for _, args := range [][]string{{"./wire", "./internal/claim", "./internal/door", "./internal/fleet", "./internal/history", "./internal/member", "./internal/mesh", "./internal/regroup", "./internal/relay", "./internal/rental", "./internal/restore", "./internal/round", "./internal/sched", "./internal/snapshot", "./internal/store", "./internal/tier", "./internal/zone"},
-				{"-run", "LateWrites$|LateImport", "."}, {"-run", "BackAtOnce", "."}, {"-run", "PartsHold|Regroup", "."}, {"-run", "ProofsHold|EachMachine|KeptConnections|CutLeader|TestGap", "."}} {
+				{"-run", "LateWrites$|LateImport", "."}, {"-run", "BackAtOnce", "."}, {"-run", "PartsHold|Regroup", "."}, {"-run", "Looks|Odd", "."}, {"-run", "ProofsHold|EachMachine|KeptConnections|CutLeader|TestGap", "."}} {
 				run := exec.Command("go", append([]string{"test"}, args...)...)
 				run.Dir, run.Env = dir, append(os.Environ(), "AMBERDEAL_STALLS=150", "AMBERDEAL_PARTS=150", "AMBERDEAL_REGROUPS=100", "AMBERDEAL_GUARDS=")
 				if out, err := run.CombinedOutput(); err != nil {
--- a/looks_sim_test.go
+++ b/looks_sim_test.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"amberdeal.example/amberdeal/internal/config"
@@ -394,3 +395,69 @@
 		log(what, all[what])
 	}
 }
+
+// endOffsets are how long after its last task has ended a job is cancelled.
+var endOffsets = []time.Duration{-300, -20, -2, -1, 0, 1, 2, 5, 20, 100, 300, 600, 900, 1500, 2500}
+
+// atEnd has a job be cancelled, asked about and submitted again at three controllers so long after
+// its last task has ended, with no other trouble, and tells how it became.
+func (l *looks) atEnd(n, first int, offset time.Duration, shape wire.Shape, tasks int) {
+	const run = 4 * time.Second
+	j := jobOf(fmt.Sprintf("wk-%06d", n), shape, tasks, run)
+	j.CPUs, j.GPUs, j.MemoryGB = 0.5, 0.25, 1
+	x := &looked{job: j}
+	l.check.Submitted(j, run)
+	l.group.Go(func() {
+		l.until(first, x, "POST", "", wire.Encode(j))
+		for l.ctx.Err() == nil && l.check.Running(j.ID) < tasks {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(run + offset)
+		ended := l.check.Running(j.ID) == 0
+		l.group.Go(func() { l.ask((first+1)%l.count, x, "GET", "", nil) })
+		l.group.Go(func() { l.ask((first+2)%l.count, x, "POST", "", l.body(j)) })
+		l.until(first, x, "POST", wire.CancelWord, []byte{})
+		l.mu.Lock()
+		stage := x.stage
+		l.mu.Unlock()
+		l.meets(fmt.Sprintf("ended %v, %s", ended, stage), true)
+		for i := range 2 * l.count {
+			time.Sleep(700 * time.Millisecond)
+			l.ask((first+i)%l.count, x, "GET", "", nil)
+		}
+		l.until(first+1, x, "POST", wire.CancelWord, []byte{}) // again, also of what is done
+	})
+}
+
+// TestCancelMeetsEnd: a cancellation, a question and a repeated submission come around the end of a
+// job's last task, its report and the round that writes it, at each controller: the job is done or
+// cancelled, once, whoever is asked.
+func TestCancelMeetsEnd(t *testing.T) {
+	met := map[string]int{}
+	for seed, x := range []lookDay{{3, "off", ""}, {5, "zone", ""}} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLooks(t, x, uint64(seed))
+			time.Sleep(8 * time.Second)
+			l.live(999, 0, 90*time.Second, forever)
+			time.Sleep(12 * time.Second)
+			for n, offset := range endOffsets {
+				for first := range 3 {
+					l.atEnd(3*n+first, first, offset*time.Millisecond, []wire.Shape{wire.Array, wire.Gang, wire.Array}[(n+first)%3], 1+(n+first)%3)
+				}
+				time.Sleep(1700 * time.Millisecond)
+			}
+			l.close(0, 5*time.Minute)
+			for _, b := range l.order.Broken() {
+				t.Error(b)
+			}
+			for what, n := range l.met {
+				met[what] += n
+			}
+		})
+	}
+	for _, what := range []string{"ended false, withdrawn", "ended true, withdrawn", "ended true, done"} {
+		if met[what] < 5 {
+			t.Errorf("%s: %d times", what, met[what])
+		}
+	}
+}
