--- /dev/null
+++ b/odd_sim_test.go
@@ -0,0 +1,107 @@
+package amberdeal
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/standin"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// oddBodies are submissions that are never accepted, by what is odd of them.
+func oddBodies(id string) map[string][]byte {
+	whole := func(field string, value any) []byte {
+		var m map[string]any
+		_ = wire.Decode(wire.Encode(jobOf(id, wire.Array, 2, time.Minute)), &m)
+		if m[field] = value; value == "left out" {
+			delete(m, field)
+		}
+		return wire.Encode(m)
+	}
+	out := map[string][]byte{"empty": {}, "a list": wire.Encode([]string{id}), "trailing": append(whole("cells", 2), 0), "cut off": whole("cells", 2)[:100],
+		"team": whole("keeper", "nobody"), "type": whole("frames", []string{"g9"}), "zone": whole("apiary", "z"), "size": whole("vcpus", 17), "no types": whole("frames", []string{})}
+	for _, field := range []string{"breed", "keeper", "shape", "rank", "cells", "vcpus", "accelerators", "mem_gb", "comb", "image_gb", "one_zone", "spread", "borrowed", "expect_s", "capping_s", "seal_s"} {
+		out["no "+field] = whole(field, "left out")
+		out["null "+field] = whole(field, nil)
+	}
+	return out
+}
+
+// TestOddRequests: odd submissions meet machine types that are not known yet, and that change. Each is
+// answered 400 or 422 by every controller, or 503 while it can't tell; none is ever accepted, and
+// a job that was accepted before its machine type went is not forgotten, whatever its repeats say.
+func TestOddRequests(t *testing.T) {
+	for seed, count := range []int{3, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			met := map[int]int{}
+			var mu sync.Mutex
+			w := worldOfDoors(t, count, uint64(seed), nil)
+			w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = true })
+			odd := func(round int) {
+				n := 0
+				for what, body := range oddBodies(fmt.Sprint("wk-9", round)) {
+					n++
+					i := (n + round) % count
+					w.group.Go(func() {
+						resp, err := w.reach(i, 5*time.Second, "POST", wire.PathJobs, body)
+						if err != nil || resp.Status != 400 && resp.Status != 422 && resp.Status != 503 && resp.Status != 429 {
+							t.Errorf("%s at %d: %+v, %v", what, i, resp, err)
+							return
+						}
+						mu.Lock()
+						met[resp.Status]++
+						mu.Unlock()
+					})
+				}
+				time.Sleep(time.Second)
+				for i := range count {
+					if resp, err := w.reach(i, 5*time.Second, "GET", wire.PathJobs+fmt.Sprint("/wk-9", round), nil); err != nil || resp.Status != 404 && resp.Status != 503 {
+						t.Errorf("%d tells of what was refused: %+v, %v", i, resp, err)
+					}
+				}
+			}
+			for round := range 4 { // before the state is read, and while no types are known
+				odd(round)
+			}
+			w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = false })
+			time.Sleep(10 * time.Second)
+			early := w.client(jobOf("wk-1", wire.Array, 3, 300*time.Second, func(j *wire.Job) { j.Types = []string{"g4"} }), luckOf(uint64(seed), "wk-1"), 300*time.Second)
+			if status := early.until(early.submit); status != 201 {
+				t.Errorf("it was answered %d", status)
+			}
+			odd(10)
+			time.Sleep(10 * time.Second)
+			other := w.cloud.Types[0]
+			other.Name = "g5"
+			w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Types = []wire.MachineType{other} })
+			for round := range 16 { // each controller learns of it within two minutes
+				odd(20 + round)
+				for i := range count {
+					if status := early.submit(i); status != 200 && status != 0 {
+						t.Errorf("the repeat is answered %d at %d", status, i)
+					}
+					for _, body := range oddBodies("wk-1") {
+						if resp, err := w.reach(i, 5*time.Second, "POST", wire.PathJobs, body); err == nil && wire.SubmittedID(body) != "" && (resp.Status == 400 || resp.Status == 422) {
+							t.Errorf("a repeat is answered %d at %d", resp.Status, i)
+						}
+					}
+				}
+				time.Sleep(9 * time.Second)
+			}
+			gone := w.client(jobOf("wk-2", wire.Array, 1, time.Minute, func(j *wire.Job) { j.Types = []string{"g4"} }), luckOf(uint64(seed), "wk-2"), time.Minute)
+			for i := range count {
+				if resp, err := w.reach(i, 5*time.Second, "POST", wire.PathJobs, wire.Encode(gone.job)); err != nil || resp.Status != 422 {
+					t.Errorf("a job for a type that is gone is answered %+v, %v at %d", resp, err, i)
+				}
+			}
+			early.until(early.cancel)
+			w.close(0, 5*time.Minute)
+			if met[503] < 20 || met[400] < 200 || met[422] < 40 {
+				t.Errorf("answered %v", met)
+			}
+		})
+	}
+}
