--- a/newmachines_sim_test.go
+++ b/newmachines_sim_test.go
@@ -172,3 +172,104 @@
 		}
 	}}.play(t)
 }
+
+// newAt are the instants after the write of a launch on a new machine at which its leader ends.
+var newAt = []time.Duration{0, 15 * time.Millisecond, 60 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond, 3 * sec}
+
+// newMeets is what becomes of new machines when the leader ends.
+var newMeets = []struct {
+	name string
+	cast func(w *world, m upMachine)
+}{
+	{"live on", func(*world, upMachine) {}},
+	{"are deaf", func(_ *world, m upMachine) { deaf(15*sec, m) }},
+	{"are cut off", func(w *world, m upMachine) {
+		lasting(17*sec, func(on bool) { w.net.Down(m.host, on) })
+	}},
+	{"can only be called", func(w *world, m upMachine) {
+		lasting(12*sec, func(on bool) { w.net.Mute(m.host, on) })
+	}},
+	{"are gone", func(w *world, m upMachine) { w.cloud.TakeBack(m.id, 0) }},
+}
+
+// TestNewMachinesAsLeaderEnds: machines are up before the rental's answer and before any list shows them,
+// and get work at once: an array up to its team's limit, a gang and an array in one zone, a service that
+// is spread. The write of a launch there is answered, or carried out and not answered, at once or
+// late, and the leader ends then; some of the machines are not to be asked. Whoever leads next
+// goes by the launch's own record of machine and tasks: nothing starts twice or where it must not.
+func TestNewMachinesAsLeaderEnds(t *testing.T) {
+	for n, at := range newAt {
+		for k, x := range newMeets {
+			for f, fate := range []standin.Fate{standin.Answered, standin.Taken, standin.Late} {
+				if !wide("AMBERDEAL_NEWMACHINES") && (k != n%len(newMeets) || f != (n+n/3)%3) {
+					continue
+				}
+				by, count, late := []string{"off", "zone"}[(n+f)%2], []int{3, 5}[(n+k)%2], (n+k+f)%3 == 0
+				t.Run(fmt.Sprint(at, " after a write that is ", []string{"answered", "taken", "late"}[f], ", new machines ", x.name, ", parts ", by, ", ", count, ", rentals late: ", late), func(t *testing.T) {
+					newDay(t, uint64(300+20*n+4*k+f), at, x.cast, fate, by, count, late)
+				})
+			}
+		}
+	}
+}
+
+func newDay(t *testing.T, seed uint64, at time.Duration, cast func(*world, upMachine), fate standin.Fate, by string, count int, late bool) {
+	var b *births
+	var met chan string
+	var term uint64
+	young := 0
+	day{seed: seed, count: count, set: func(c *config.Config) { c.Tuning.Parts.By, c.Cloud.ListLag = by, 4*sec }, begin: func(w *world) {
+		b, met = w.births(300*time.Millisecond), make(chan string, 1)
+		w.cloud.Fail(func(f *standin.CloudFaults) {
+			if w.cloud.Lag = 4 * sec; late { // carried out without an answer
+				f.Late = 700 * time.Millisecond
+			}
+		})
+		known, over := map[string]string{}, false
+		w.store.Stage(func(s *standin.Store) {
+			s.Meets = func(puts map[string]wire.Raw) standin.Fate {
+				is, part := launches(known, puts)
+				if !is || over {
+					return standin.Answered
+				}
+				over = true
+				met <- part
+				return fate
+			}
+		})
+		w.submitter(seed, jobOf("wk-1", wire.Array, 9, 40*sec, red), 6*sec, 0, 40*sec)
+		w.submitter(seed, jobOf("wk-2", wire.Gang, 3, 40*sec, oneZone, saves), 6*sec, 0, 40*sec)
+		w.submitter(seed, jobOf("wk-3", wire.Service, 4, 0, spread), 6*sec, 2*time.Minute, forever)
+		w.submitter(seed, jobOf("wk-4", wire.Array, 3, 30*sec, oneZone), 6*sec, 0, 30*sec)
+		w.submitter(seed, jobOf("wk-5", wire.Array, 2, 30*sec), 6*sec, 45*sec, 10*time.Minute)
+	}, steps: []step{
+		{6 * sec, "a launch on a new machine, and the leader ends", func(w *world) {
+			part := <-met
+			time.Sleep(at)
+			term = w.term()
+			b.mu.Lock()
+			for _, up := range b.up {
+				if time.Since(up) < 2*w.cloud.Lag {
+					young++ // no list has to show it yet
+				}
+			}
+			b.mu.Unlock()
+			for i, m := range w.workers() {
+				if i%2 == 0 {
+					cast(w, m)
+				}
+			}
+			w.crash(max(w.holder(part), w.leader()), 300*time.Millisecond, 0)
+			time.Sleep(10 * sec)
+			w.cloud.Fail(func(f *standin.CloudFaults) { f.Late = 0 })
+			time.Sleep(45 * sec)
+			if n := w.check.Running("wk-3"); n != 4 {
+				w.t.Errorf("%d of 4 replicas run", n)
+			}
+		}},
+	}, came: func(w *world) {
+		if young == 0 || w.term() == term {
+			w.t.Errorf("%d machines were new, term %d after %d", young, w.term(), term)
+		}
+	}, quiet: 60 * sec}.play(t)
+}
