--- a/internal/round/decide.go
+++ b/internal/round/decide.go
@@ -307,11 +307,24 @@
 	for _, q := range all {
 		if q.Stop == nil && !h.fleet.Withdraw(q) {
 			q.Stop = &fleet.Stop{Grace: grace, Why: why, Since: now}
+			h.noteVain(q)
 			h.log.Info("stopping", "task", q.Task, "attempt", q.Attempt, "machine", q.Machine, "why", why)
 		}
 	}
 }
 
+// noteVain counts that a task is stopped before its image has come.
+func (h *Holder) noteVain(p *fleet.Placement) {
+	if p.State != fleet.Fetching {
+		return
+	}
+	j := h.history(p.Task.Job)
+	if j.vain == nil {
+		j.vain = make(map[int]int)
+	}
+	j.vain[p.Task.Index]++
+}
+
 // tearGangs stops what is left of a gang that has lost a task: a new attempt
 // needs all of the old one gone.
 func (h *Holder) tearGangs(now time.Time) {
--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -34,6 +34,7 @@
 	since     time.Time   // when tasks of it first waited here
 	muster    mustered    // of a gang
 	stands    time.Time   // since when no task of it is anywhere and some could be
+	vain      map[int]int // times that a task was stopped before its image had come
 	alone     uint64      // the attempt of a gang of which a task waited for the others in vain
 }
 
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -200,7 +200,11 @@
 			if !p.Begun.IsZero() {
 				ran = now.Sub(p.Begun)
 			}
-			s.Tasks = append(s.Tasks, sched.Task{Job: j, Index: p.Task.Index, Ran: ran, Stopping: p.Stop != nil})
+			vain := 0
+			if hist := h.jobs[p.Task.Job]; hist != nil {
+				vain = hist.vain[p.Task.Index]
+			}
+			s.Tasks = append(s.Tasks, sched.Task{Job: j, Index: p.Task.Index, Ran: ran, Stopping: p.Stop != nil, Vain: vain})
 		}
 	}
 	s.Images = m
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -132,6 +132,10 @@
 	return loss(t)
 }
 
+// vainCost is the loss, in seconds, for each time that a task was stopped before it ran: what waits for
+// its image loses nothing else, and would be the cheapest to stop again and again.
+const vainCost = 60
+
 // loss is what stopping a task wastes, in seconds of GPUs and CPUs. With a task of a gang all
 // its mates go, and the wait for room for all of them, which it has to go through again.
 func loss(t Task) float64 {
@@ -139,6 +143,9 @@
 	if t.Job.CheckpointS > 0 {
 		lost = min(lost, t.Job.SaveS)
 	}
+	if t.Ran == 0 {
+		lost += float64(t.Vain) * vainCost
+	}
 	tasks := 1
 	if t.Job.Shape == wire.Gang && t.Job.Active > 1 {
 		tasks = t.Job.Active
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -48,6 +48,7 @@
 	Index    int
 	Ran      time.Duration // since it was seen running
 	Stopping bool          // or should end for a claim back
+	Vain     int           // times that it was stopped before its image had come
 	Stuck    bool          // it has not stopped in time: nothing is to wait for its room
 }
 
--- a/slowlinks_sim_test.go
+++ b/slowlinks_sim_test.go
@@ -1,6 +1,7 @@
 package amberdeal
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,3 +58,31 @@
 		w.judge()
 	})
 }
+
+// TestFetchesAreNotGivenUpAgain: urgent work comes all the time to a full fleet, and stops what loses least. What
+// waits for an image over a slow link loses the fetch: that may happen to a task, not again and again.
+func TestFetchesAreNotGivenUpAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 43, 0, nil)
+		w.cloud.Fail(func(*standin.CloudFaults) { w.cloud.Rooms = map[standin.Offer]int{{Type: "g4", Zone: "a"}: 3} })
+		for n := range 6 {
+			w.submitter(43, jobOf(fmt.Sprint("wk-", n+1), wire.Array, 4, 20*time.Second, func(j *wire.Job) { j.Image, j.ImageGB = fmt.Sprint("big-", n), 30 }), time.Second, 0, 20*time.Second)
+		}
+		high := func(j *wire.Job) { j.Priority = wire.High }
+		for n := range 80 {
+			w.submitter(43, jobOf(fmt.Sprint("wk-", 100+n), wire.Array, 1, 8*time.Second, high), time.Duration(20+3*n)*time.Second, 0, 8*time.Second)
+		}
+		time.Sleep(5 * time.Minute)
+		w.calm()
+		w.finish(10 * time.Minute)
+		w.judge()
+		most, sum := 0, 0
+		for _, n := range w.yard.GivenUp() {
+			most, sum = max(most, n), sum+n
+		}
+		t.Logf("%d fetches given up, %d of one task", sum, most)
+		if sum == 0 || most > 2 { // one that was given up costs more than any task that runs
+			t.Errorf("%d fetches were given up, %d of one task", sum, most)
+		}
+	})
+}
