--- a/meetings_sim_test.go
+++ b/meetings_sim_test.go
@@ -49,7 +49,7 @@
 	*world
 	number uint64
 	luck   *rand.Rand
-	bad    int // the controller that troubles are about
+	bad    int          // the controller that troubles are about
 	kept   atomic.Int64 // reports that came to the next leader
 	mu     sync.Mutex
 	all    []*client
