A holder that learns of its own round goes by what was read then

The round was taken and its answer lost; by the time its repeat was refused and the slot read, its job may be cancelled, and its user told. The launch went out all the same, for up to a second: the placements are compared with the jobs first now. While that read failed the round, whose answer was known, was sent again, 21 to 26 times in 4 s: the read alone is repeated now.

--- a/atonce_sim_test.go
+++ b/atonce_sim_test.go
@@ -1,6 +1,7 @@
 package amberdeal
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"maps"
@@ -381,3 +382,82 @@
 		w.finish(time.Minute)
 	})
 }
+
+// TestCancelledWhileItsLaunchIsUnknown: the round that launches a job is taken, and its holder learns
+// that by its repeat alone. Just before, another controller has told a user that the job is
+// cancelled: what the holder reads to know its own write says that too, and no task starts. Of
+// one of them it is refused all reads for a while before, and does not send the round again meanwhile.
+func TestCancelledWhileItsLaunchIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 92, 0, func(c *config.Config) { c.StoreAddr = standin.Address("10.2.1."+c.Name[2:], 2379) })
+		l := newLateness(t, w.net, "10.2.0.1:2379", 92, 0)
+		caller := &transport.Caller{Limit: wire.MaxBody, Dial: w.net.Host("10.3.0.4").Dial}
+		call := func(from int, path string, body []byte) int {
+			resp, err := caller.Call(w.ctx, standin.Address(w.ip(from), 8080), "POST", path, body)
+			if err != nil {
+				return 0
+			}
+			return resp.Status
+		}
+		var mu sync.Mutex
+		copies := map[string]int{} // of the rounds that launch the jobs
+		rounds, unread := map[string]string{}, map[string]time.Time{}
+		job := "none"
+		l.serving = func(ctx context.Context, via *transport.Caller, from, method, target string, body []byte) (int, []byte) {
+			mu.Lock()
+			id, n := job, 0
+			if target == wire.PathTxn && bytes.Contains(body, []byte(id+"/0")) && (copies[id] == 0 || rounds[id] == string(body)) {
+				rounds[id] = string(body)
+				copies[id]++
+				n = copies[id]
+			}
+			refused := method == "GET" && time.Now().Before(unread[from])
+			mu.Unlock()
+			if refused {
+				return 503, nil
+			}
+			if n == 2 {
+				if status := call((int(from[2]-'0')+1)%3, wire.PathJobs+"/"+id+"/"+wire.CancelWord, []byte{}); status != 200 {
+					t.Errorf("the cancellation of %s is answered %d", id, status)
+				}
+			}
+			status, answer := l.pass(ctx, via, method, target, body)
+			if n == 1 && status == 200 {
+				return silent, nil
+			}
+			if n == 2 && id == "wk-2" {
+				mu.Lock()
+				unread[from] = time.Now().Add(4 * time.Second)
+				mu.Unlock()
+			}
+			return status, answer
+		}
+		for i := range w.count {
+			l.listen(w.ctx, fmt.Sprint("c-", i), fmt.Sprint("10.2.1.", i))
+		}
+		w.service("wk-1", 2*time.Minute)
+		time.Sleep(40 * time.Second)
+		_, before := w.check.Counts()
+		for i := range 4 {
+			j := &wire.Job{ID: fmt.Sprint("wk-", 2+i), Class: "c", Team: "blue", Shape: wire.Array, Priority: wire.Normal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 1, EstimateS: 5}
+			w.check.Submitted(j, 5*time.Second)
+			mu.Lock()
+			job = j.ID
+			mu.Unlock()
+			if status := call(0, wire.PathJobs, wire.Encode(j)); status != 201 {
+				t.Errorf("%s is answered %d", j.ID, status)
+			}
+			time.Sleep(15 * time.Second)
+		}
+		for id, n := range copies {
+			if n != 2 {
+				t.Errorf("the round that launches %s was sent %d times, not twice", id, n)
+			}
+		}
+		if _, after := w.check.Counts(); len(copies) != 4 || after != before {
+			t.Errorf("of %d jobs that were cancelled while their launch was unknown, %d tasks have started", len(copies), after-before)
+		}
+		w.finish(10 * time.Minute)
+		w.judge()
+	})
+}
--- a/internal/round/run.go
+++ b/internal/round/run.go
@@ -108,13 +108,15 @@
 			e.View.Wrote(d.Taken(rev)...)
 			return
 		case errors.As(err, &conflict):
-			if e.Follow.Barrier(ctx) != nil {
-				store.Pause(ctx, 200*time.Millisecond)
-				continue
+			for e.Follow.Barrier(ctx) != nil { // the write has its answer, and is not made again for it
+				if store.Pause(ctx, 200*time.Millisecond); ctx.Err() != nil {
+					return
+				}
 			}
 			first := d.packed.Then[0].Put
 			if last, version := e.View.Slot(first); last.Term == h.held.Term && last.Round == d.Number {
-				h.Committed(d, version) // a copy without an answer was taken
+				h.Tend(time.Now(), e.View.Snapshot()) // what was cancelled since is not launched
+				h.Committed(d, version)               // a copy without an answer was taken
 				return
 			}
 			h.log.Info("round refused", "number", d.Number, "failed", conflict.Failed)
