Parts: what has no room beside what is used still waits, and asks for nothing

Two mends met: a part asked for nothing that the limit has no room for, and so no longer knew that small tasks of its own would take what comes free before one that waits elsewhere for longer.

--- a/internal/round/grant.go
+++ b/internal/round/grant.go
@@ -139,7 +139,7 @@
 func (h *Holder) foreign(team string) (most sched.Want, asked, first bool) {
 	from := ""
 	for _, part := range sortedKeys(h.others) {
-		if w, ok := h.others[part].Wants[team]; ok && (!asked || w.Compare(most) < 0) {
+		if w := h.others[part].Wants[team]; w.Asks() && (!asked || w.Compare(most) < 0) {
 			most, from, asked = w, part, true
 		}
 	}
@@ -163,7 +163,8 @@
 // grantOf gives what a part should be granted of a team's limits.
 func (h *Holder) grantOf(t *config.Team, own, used [2]float64) [2]float64 {
 	sum := h.granted(t.Name)
-	mine, waits := h.outlook.wants[t.Name]
+	mine := h.outlook.wants[t.Name]
+	waits := mine.Asks()
 	foreign, asked, first := h.foreign(t.Name)
 	yields := asked && (!waits || first)
 	out := own
--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -39,27 +39,26 @@
 	Coming, None int
 }
 
-// want notes tasks that a team's grant holds back. Those for which the limit of all parts together
-// has no room beside what is used here are none of them: a part that kept a rest of the limit
-// for them would keep it from smaller work in others for nothing.
+// want notes tasks that a team's grant holds back. Of those for which the limit of all parts together
+// has no room beside what is used here nothing is asked for: a part that kept a rest of the limit
+// for them would keep it from smaller work in others for nothing. They wait all the same.
 func (pl *planner) want(j *Job, tasks int) {
-	most := pl.Teams[j.Team].most(Of(j.Job))
-	if j.Shape == wire.Gang && tasks > most {
+	if !pl.Parts || tasks <= 0 {
 		return
 	}
-	if tasks = min(tasks, most); !pl.Parts || tasks <= 0 {
-		return
+	fit := min(tasks, pl.Teams[j.Team].most(Of(j.Job)))
+	least := Of(j.Job)
+	if j.Shape == wire.Gang {
+		if least = (Amount{}).Plus(least, float64(tasks)); fit < tasks {
+			fit = 0
+		}
 	}
 	if pl.plan.Wants == nil {
 		pl.plan.Wants = make(map[string]Want)
 	}
 	w, known := pl.plan.Wants[j.Team]
-	w.CPUs += j.CPUs * float64(tasks)
-	w.GPUs += j.GPUs * float64(tasks)
-	least := Of(j.Job)
-	if j.Shape == wire.Gang {
-		least = Amount{}.Plus(least, float64(tasks))
-	}
+	w.CPUs += j.CPUs * float64(fit)
+	w.GPUs += j.GPUs * float64(fit)
 	if w.Least.Fits(least) || !known {
 		w.Least = least
 	}
@@ -69,6 +68,9 @@
 	pl.plan.Wants[j.Team] = w
 }
 
+// Asks reports whether a want asks for anything now.
+func (w Want) Asks() bool { return w.CPUs > 0 || w.GPUs > 0 }
+
 // Worth reports whether what is wanted will fit into a limit once all has ended but what stays, so
 // that work of other parts is to wait for it: it has waited for long, as in one part.
 func (w Want) Worth(waited, beginWithin time.Duration, limit Team, stays Amount) bool {
