--- a/internal/sched/room.go
+++ b/internal/sched/room.go
@@ -142,7 +142,9 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				o := Offer{t.Name, zone, spot}
-				r.Rent = r.Rent || allowed(j, o) && !pl.Refused[o] && !pl.Doubted[o] && (Amount{t.CPUs, t.GPUs, t.MemoryGB}).Fits(need)
+				// One in doubt that is not left alone any more counts: nobody else would ever ask it, and a
+				// gang that needs room there would wait for ever.
+				r.Rent = r.Rent || allowed(j, o) && !pl.Refused[o] && (Amount{t.CPUs, t.GPUs, t.MemoryGB}).Fits(need)
 			}
 		}
 	}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -231,4 +231,17 @@
 	if room := Choose(p).Rooms["c"]; room.Now != 4 {
 		t.Errorf("there is room for %d", room.Now)
 	}
+	// An offer that had not all that it was asked for has room once it is not left alone any more, or a part
+	// without work of its own would never ask it again.
+	for _, left := range []bool{true, false} {
+		for _, zone := range []string{"a", "b"} {
+			for _, spot := range []bool{true, false} {
+				o := Offer{"g4", zone, spot}
+				p.Doubted[o], p.Refused[o] = true, left
+			}
+		}
+		if room := Choose(p).Rooms["c"]; room.Rent == left {
+			t.Errorf("left alone: %v, to be rented: %v", left, room.Rent)
+		}
+	}
 }
