History: what is folded was over before the holder was asked what may be somewhere

Found by reading: the folder asked the holder first and looked what is over then. A job that was launched and cancelled between the two, while the process stood still, was folded with a task that may run, and counted against no limit by the next holder. Seen by TestCancelledWhileAsked, which fails without the order.

--- a/internal/history/folder.go
+++ b/internal/history/folder.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
@@ -139,13 +138,15 @@
 	if waiting == 0 || waiting < most && now.Sub(f.waiting) < f.Wait {
 		return false, nil
 	}
+	// What is over now was launched before that if ever, so that the holder, asked after it, names it. Of
+	// what is over later it could have been asked too early: between a launch and a cancellation.
+	clear := f.View.Revision()
 	ending, ok := f.Ending()
 	if !ok {
 		return false, nil
 	}
-	clear := uint64(math.MaxUint64)
 	if f.Clear != nil {
-		clear = f.Clear()
+		clear = min(clear, f.Clear())
 	}
 	homes := f.View.Over(most, func(h *store.Home) bool {
 		if h.Version > clear {
--- a/internal/history/folder_test.go
+++ b/internal/history/folder_test.go
@@ -184,6 +184,37 @@
 	}
 }
 
+// TestCancelledWhileAsked: the holder tells which jobs may have a task somewhere, and just after that
+// another is launched and cancelled, by the time at which the folder looks what is over. Its task may
+// run: it is folded only once the holder was asked anew.
+func TestCancelledWhileAsked(t *testing.T) {
+	w := newWorld(t, tiny)
+	w.must(w.submission("a", "wk-1"))
+	w.must(w.submission("b", "wk-2"))
+	_ = w.Barrier(t.Context())
+	w.must(w.end("wk-1", wire.Done))
+	_ = w.Barrier(t.Context())
+	asked := 0
+	w.folder.Ending = func() (map[string]bool, bool) {
+		if asked++; asked > 1 {
+			return map[string]bool{"wk-2": true}, true
+		}
+		defer func() {
+			w.must(w.end("wk-2", wire.Cancelled))
+			_ = w.Barrier(t.Context())
+		}()
+		return nil, true
+	}
+	for range 2 {
+		if err := w.steps(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if w.view.Settled("wk-2") || !w.view.Settled("wk-1") || asked < 2 {
+		t.Errorf("settled: wk-1 %v, wk-2 %v, after %d questions", w.view.Settled("wk-1"), w.view.Settled("wk-2"), asked)
+	}
+}
+
 // TestOutageWhileFolding: refusals and silence end a step, with nothing half done
 // that the next does not finish.
 func TestOutageWhileFolding(t *testing.T) {
