--- a/internal/round/holder.go
+++ b/internal/round/holder.go
@@ -111,7 +111,6 @@
 	silenced     []silenced              // machines that were given up for their silence
 	left         restore.Room            // that the last plan has left
 	spells       map[string]*sched.Stood // by machine
-	limits       map[string]*sched.Stood // by team
 	hushed       map[string]time.Time    // zones of which hardly a machine is heard here, and since when
 	returns      map[string]*restore.Plan
 	uneven       bool                 // services are to be moved, by the last plan
--- a/internal/round/picture.go
+++ b/internal/round/picture.go
@@ -74,15 +74,6 @@
 			j.Stood = now.Sub(hist.stands)
 		}
 	}
-	for name, t := range pic.Teams {
-		if h.limits == nil {
-			h.limits = make(map[string]*sched.Stood)
-		}
-		if h.limits[name] == nil {
-			h.limits[name] = new(sched.Stood)
-		}
-		t.Long = h.limits[name].Note(now, sched.Amount{CPUs: max(0, t.CPUsMax-t.UsedCPUs), GPUs: max(0, t.GPUsMax-t.UsedGPUs)})
-	}
 	if len(h.spells) > 2*len(pic.Machines) {
 		h.spells = nil // most of it is of machines that are gone
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -140,7 +140,6 @@
 	UsedCPUs, UsedGPUs           float64
 	ElseCPUs, ElseGPUs           float64 // what other parts use, as last told
 	AllCPUs, AllGPUs             float64 // limits of all parts together, 0 for none; CPUsMax and GPUsMax are this part's
-	Long                         Amount  // what of the limits has been free for long, see Stood
 }
 
 // most is how many tasks more the team could have here if this part were granted all that there is.
--- a/internal/sched/search.go
+++ b/internal/sched/search.go
@@ -206,7 +206,7 @@
 	waiting := s.now(j.Waiting[j.begun:])
 	if len(waiting) > 0 && !team.allows(need) {
 		if pl.want(j, len(waiting)); pl.worthWaiting(j, need) {
-			pl.keepLimit(j.Team, need) // its next task goes before smaller ones that stand behind it
+			team.use(need) // its next task goes before smaller ones that stand behind it
 		}
 		return
 	}
@@ -356,7 +356,7 @@
 	}
 	if !team.allows(whole) {
 		if pl.want(j, len(j.Waiting)); j.elder > 0 {
-			pl.keepLimit(j.Team, whole) // what is left is not for smaller work that stands behind it
+			team.use(whole) // what is left is not for smaller work that stands behind it
 		}
 		return
 	}
--- a/internal/sched/stood.go
+++ b/internal/sched/stood.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"amberdeal.example/amberdeal/wire"
@@ -49,22 +48,6 @@
 	return Amount{min(a.CPUs, b.CPUs), min(a.GPUs, b.GPUs), min(a.MemoryGB, b.MemoryGB)}
 }
 
-// keepLimit keeps the rest of a team's limit for work that needs more of it than there is. What has been free
-// for standMost is not kept while other work of the team has stood for as long: it need not wait for
-// what may come only when all that runs has ended.
-func (pl *planner) keepLimit(name string, a Amount) {
-	t := pl.Teams[name]
-	if slices.ContainsFunc(pl.Jobs, func(j *Job) bool { return j.Team == name && j.stood() }) {
-		if t.CPUsMax > 0 {
-			a.CPUs = min(a.CPUs, max(0, t.CPUsMax-t.UsedCPUs-t.Long.CPUs))
-		}
-		if t.GPUsMax > 0 {
-			a.GPUs = min(a.GPUs, max(0, t.GPUsMax-t.UsedGPUs-t.Long.GPUs))
-		}
-	}
-	t.use(a)
-}
-
 // stood reports whether a job is to wait no longer where there is room.
 func (j *Job) stood() bool {
 	return j.Stood >= standMost && len(j.Waiting) > 0 && j.Active+j.Elsewhere == 0 && !j.Ending && !j.Unsure && !j.Hold
--- a/internal/sched/stood_test.go
+++ b/internal/sched/stood_test.go
@@ -144,30 +144,3 @@
 		t.Errorf("%v counts though nobody looked", got)
 	}
 }
-
-// TestLimitIsNotKeptForLong: the next task of an array needs more of its team's limit than there is,
-// and has waited for longer than smaller work. What is left is kept for it, but what has been left for
-// standMost goes to who has stood for as long, on room that has come free just now; what came free
-// of late is kept.
-func TestLimitIsNotKeptForLong(t *testing.T) {
-	for _, x := range []struct {
-		stood time.Duration
-		long  float64 // GPUs of the limit that have been free for standMost
-		want  int
-	}{{standMost - time.Second, 2, 0}, {standMost, 0, 0}, {standMost, 1, 1}, {standMost, 2, 2}} {
-		large, small := job("wk-1", wire.Array, wire.High, 4, 0), job("wk-2", wire.Array, wire.Normal, 1, 0, 1, 2)
-		large.Age, small.Age, small.Stood = 2*time.Minute, 80*time.Second, x.stood
-		p := picture([]*Job{large, small}, machine("n-1", "a"), machine("n-2", "a"))
-		p.BeginWithin = 4 * time.Minute
-		p.Teams["red"].GPUsMax, p.Teams["red"].UsedGPUs, p.Teams["red"].Long = 6, 4, Amount{GPUs: x.long}
-		launched := 0
-		for _, l := range Choose(p).Launches {
-			if launched++; l.Job != small {
-				t.Errorf("%s is launched", l.Job.ID)
-			}
-		}
-		if launched != x.want {
-			t.Errorf("stood for %v beside %v: %d are launched, not %d", x.stood, x.long, launched, x.want)
-		}
-	}
-}
