--- a/newmachines_sim_test.go
+++ b/newmachines_sim_test.go
@@ -244,7 +244,13 @@
 		w.submitter(seed, jobOf("wk-5", wire.Array, 2, 30*sec), 6*sec, 45*sec, 10*time.Minute)
 	}, steps: []step{
 		{6 * sec, "a launch on a new machine, and the leader ends", func(w *world) {
-			part := <-met
+			part := ""
+			select {
+			case part = <-met:
+			case <-time.After(time.Minute):
+				w.t.Error("no launch was written")
+				return
+			}
 			time.Sleep(at)
 			term = w.term()
 			b.mu.Lock()
