--- a/odd_sim_test.go
+++ b/odd_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -63,6 +64,11 @@
 					}
 				}
 			}
+			for i := range count { // it listens
+				for err := net.ErrClosed; err != nil; time.Sleep(time.Millisecond) {
+					_, err = w.reach(i, 5*time.Second, "GET", wire.PathReady, nil)
+				}
+			}
 			for round := range 4 { // before the state is read, and while no types are known
 				odd(round)
 			}
