--- a/odd_sim_test.go
+++ b/odd_sim_test.go
@@ -69,7 +69,7 @@
 					_, err = w.reach(i, 5*time.Second, "GET", wire.PathReady, nil)
 				}
 			}
-			for round := range 4 { // before the state is read, and while no types are known
+			for round := range 6 { // before the state is read, and while no types are known
 				odd(round)
 			}
 			w.cloud.Fail(func(f *standin.CloudFaults) { f.Trouble = false })
@@ -105,6 +105,7 @@
 			}
 			early.until(early.cancel)
 			w.close(0, 5*time.Minute)
+			t.Logf("answered %v", met)
 			if met[503] < 20 || met[400] < 200 || met[422] < 40 {
 				t.Errorf("answered %v", met)
 			}
