Log the way of each command, and attempts that nobody launched

An attempt that starts again could not be told apart in the log: launches by direct calls were not logged, nor was that such a call had been answered, and an attempt that a machine lists without a launch of its leader was taken in silence.

--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -9,8 +9,9 @@
 
 // Event is something that a heartbeat or an expired lease has shown.
 type Event struct {
-	Placement *Placement
-	Gone      bool // it is no longer there, and was not seen to end
+	Placement  *Placement
+	Gone       bool // it is no longer there, and was not seen to end
+	Unlaunched bool // it is there, or there again, by no launch of this leader that was still on its way
 }
 
 // IsNewer reports whether a heartbeat is newer than all that came of its machine, also of one that
@@ -41,14 +42,16 @@
 		return nil // its list is as old as itself; what is gone since would be launched on
 	}
 	m := f.EnsureMachine(now, r.Machine, r.Type, r.Zone, r.Spot)
+	known := m.SeenAtToken // all that earlier leaders launched has been seen
 	var events []Event
 	if r.Incarnation > m.Incarnation {
 		events = f.enterIncarnation(now, m, r.Incarnation, own)
 	}
 	f.noteContact(now, m, r, own)
 	for _, t := range r.Tasks {
-		if p, changed := f.applyTaskStatus(now, m, t); changed {
-			events = append(events, Event{p, false})
+		if e, changed := f.applyTaskStatus(now, m, t); changed {
+			e.Unlaunched = e.Unlaunched && known
+			events = append(events, e)
 		}
 	}
 	if m.SeenAtToken && r.FencingToken >= f.FencingToken {
@@ -69,7 +72,7 @@
 	for _, p := range m.Placements() {
 		if (p.State != Planned || p.callPending) && (m.SeenAtToken || !p.restored) {
 			f.removePlacement(m, p)
-			events = append(events, Event{p, true})
+			events = append(events, Event{Placement: p, Gone: true})
 		}
 	}
 	m.beginIncarnation(incarnation)
@@ -120,7 +123,7 @@
 		if p.State != Sent {
 			f.removePlacement(m, p)
 			if p.State != Ended {
-				events = append(events, Event{p, true})
+				events = append(events, Event{Placement: p, Gone: true})
 			}
 			continue
 		}
@@ -133,7 +136,7 @@
 		p.State, p.sentInResponse = Planned, false
 		if p.Stop != nil && !p.callPending {
 			f.removePlacement(m, p)
-			events = append(events, Event{p, true})
+			events = append(events, Event{Placement: p, Gone: true})
 		}
 	}
 	if lost {
@@ -143,16 +146,18 @@
 }
 
 // applyTaskStatus applies the status of one listed task and reports whether its state has changed.
-func (f *Fleet) applyTaskStatus(now time.Time, m *Machine, t wire.ReportedTask) (p *Placement, changed bool) {
-	p = m.findPlacement(t.ID, t.Attempt)
+func (f *Fleet) applyTaskStatus(now time.Time, m *Machine, t wire.ReportedTask) (e Event, changed bool) {
+	p, state := m.findPlacement(t.ID, t.Attempt), stateOf(t.State)
 	if p == nil {
 		p = &Placement{Task: t.ID, Attempt: t.Attempt, Machine: m.ID, PlacedAt: now, Committed: true}
 		f.addPlacement(m, p)
+		e.Unlaunched = true
 	}
+	e.Placement = p
+	e.Unlaunched = e.Unlaunched || p.State == Ended && state != Ended
 	if p.State == Sent {
 		m.lostCommands = 0
 	}
-	state := stateOf(t.State)
 	changed = !p.Reported || p.State != state
 	p.Reported, p.State, p.Cause, p.Saved = true, state, t.Cause, t.Saved
 	if state == Running && p.StartedAt.IsZero() {
@@ -161,7 +166,7 @@
 	if state == Ended && p.endedAt.IsZero() {
 		p.endedAt = now
 	}
-	return p, changed
+	return e, changed
 }
 
 // stateOf returns the state of a placement from the status that its worker sent. A state that this version does
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -51,7 +51,7 @@
 func (f *Fleet) removeAll(m *Machine) (events []Event) {
 	for _, p := range m.Placements() {
 		f.removePlacement(m, p)
-		events = append(events, Event{p, true})
+		events = append(events, Event{Placement: p, Gone: true})
 	}
 	return events
 }
--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -155,6 +155,7 @@
 		l.HandleInspection(time.Now(), hb)
 		c.incarnation = hb.Incarnation
 	}
+	l.logCommands(c.machine, "direct call", c.commands)
 	hb, ok, err := deps.Workers.Send(ctx, c.addr, wire.CommandRequest{FencingToken: l.lease.FencingToken, Incarnation: c.incarnation, Commands: c.commands})
 	switch {
 	case errors.Is(err, transport.ErrNotSent):
@@ -167,6 +168,7 @@
 		l.log.Debug("direct call failed", "machine", c.machine, "launches", len(c.launches), "err", err)
 		return
 	}
+	l.log.Debug("direct call answered", "machine", c.machine, "launches", len(c.launches), "executed", ok)
 	if answered = true; hb.FencingToken <= l.lease.FencingToken {
 		l.HandleInspection(time.Now(), hb)
 	}
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -11,6 +11,9 @@
 func (l *Leader) applyEvents(now time.Time, events []fleet.Event) {
 	for _, e := range events {
 		p := e.Placement
+		if e.Unlaunched {
+			l.log.Warn("attempt listed that was not launched", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "cause", p.Cause)
+		}
 		if e.Gone {
 			l.log.Info("task gone", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine)
 		} else if p.State == fleet.Ended && !p.EndHandled {
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -29,12 +29,18 @@
 		return response, false
 	}
 	cmds := l.fleet.HeartbeatCommands(now, hb, launch)
-	for _, c := range cmds {
-		l.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", hb.Machine)
-	}
+	l.logCommands(hb.Machine, "heartbeat response", cmds)
 	return wire.HeartbeatResponse{FencingToken: l.lease.FencingToken, Commands: cmds}, true
 }
 
+// logCommands logs the commands that a machine is sent, and the way they take: a heartbeat response is
+// executed in time or never, a direct call may be executed late.
+func (l *Leader) logCommands(machine, by string, commands []wire.Command) {
+	for _, c := range commands {
+		l.log.Debug("command", "verb", c.Verb, "task", c.Task, "attempt", c.Attempt, "machine", machine, "by", by)
+	}
+}
+
 // HandleInspection applies a heartbeat that came in the answer to a direct call.
 func (l *Leader) HandleInspection(now time.Time, hb *wire.Heartbeat) {
 	l.mu.Lock()
