--- a/internal/simtest/script_test.go
+++ b/internal/simtest/script_test.go
@@ -279,6 +279,7 @@
 	bootedAt             map[string]time.Time      // of the machines that booted at once
 	lastMachine          map[wire.TaskID]string    // the machine that each task was on last
 	taskEnds             map[wire.TaskID]time.Time // when each task ends, or has ended
+	starts               map[wire.TaskID]int       // how often each task was started
 	concurrentReadsUntil time.Time                 // until when users read concurrently
 
 	cancelled, polls, startsAtBoot atomic.Int64 // jobs, questions, and tasks on machines that have just come up
@@ -286,7 +287,7 @@
 
 // newTaskObserver returns an observer that reports to a checker.
 func newTaskObserver(c *simulator.Checker) *taskObserver {
-	return &taskObserver{Checker: c, bootedAt: map[string]time.Time{}, lastMachine: map[wire.TaskID]string{}, taskEnds: map[wire.TaskID]time.Time{}}
+	return &taskObserver{Checker: c, bootedAt: map[string]time.Time{}, lastMachine: map[wire.TaskID]string{}, taskEnds: map[wire.TaskID]time.Time{}, starts: map[wire.TaskID]int{}}
 }
 
 // machineBooted is called when a machine starts to boot.
@@ -317,6 +318,7 @@
 	run, ok := f.Checker.TaskStarted(t, machine, typ, zone, spot)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.starts[t]++
 	f.lastMachine[t], f.taskEnds[t] = machine, time.Now().Add(run)
 	if time.Since(f.bootedAt[machine]) < 4*time.Second { // it had to fetch
 		f.startsAtBoot.Add(1)
@@ -348,6 +350,21 @@
 	return last, true
 }
 
+// startsOf returns how often a task was started.
+func (f *taskObserver) startsOf(t wire.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[t]
+}
+
+// hasEnded reports whether a task was started and has ended.
+func (f *taskObserver) hasEnded(t wire.TaskID) bool {
+	stopped := f.Running(t.Job) == 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[t] > 0 && (stopped || !time.Now().Before(f.taskEnds[t]))
+}
+
 // ranOn reports whether a task of a job was on a machine last.
 func (f *taskObserver) ranOn(machine string, j *wire.Job) bool {
 	f.mu.Lock()
