fleet: what is done is remembered for late copies like all that has ended

Cause: an attempt that ended as done was cleared from its machine's list at once. A late copy of the direct call that launched it found it forgotten and started it again; and of more than a hundred ended attempts on one machine the rest was cleared as well. Change: all that a direct call launched stays listed for the window after its end, and the list's bound is kept at the launch: where a hundred attempts of a machine's list were launched by calls, the next goes by the response to a heartbeat, which is never executed late. What a copy has started in spite of that is remembered as well.

TestDuplicateCalls demanded the fault (a clear of what is done, and of what is too much for the list). It now demands the opposite: no clear before the window's end, done or not, and a bound that holds without clears (TestTombstonesAreBounded).

--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -22,11 +22,9 @@
 	// For the response to a heartbeat that has come again, no worker waits; nor, mostly, for that to
 	// one from before the token, of a machine that was seen at it since.
 	launch = launch && m.launchable() && r.Seq > m.launchSeq && r.FencingToken == f.FencingToken && f.ReceivesCommands(now, m)
-	tombstones := 0
 	for _, p := range m.Placements() {
 		switch {
-		case p.IsTombstone() && p.mayBeDuplicated(now) && tombstones < maxTombstones:
-			tombstones++
+		case p.IsTombstone() && p.mayBeDuplicated(now):
 		case p.State == Ended && p.EndHandled && !p.callPending:
 			cmds = append(cmds, p.command(wire.Clear))
 		case p.Stop != nil && p.Reported && p.Active():
@@ -48,11 +46,13 @@
 	// What is sent to an incarnation of which nothing has come is executed whenever that begins: no
 	// time proves it gone.
 	launch = launch && m.launchable() && m.incarnationSeen
+	sentByCall := m.countSentByCall()
 	for _, p := range m.Placements() {
 		switch {
 		case p.Stop != nil && p.State != Planned && p.Active():
 			cmds = append(cmds, p.stopCommand())
-		case p.State == Planned && p.Committed && p.Stop == nil && !p.callPending && launch:
+		case p.State == Planned && p.Committed && p.Stop == nil && !p.callPending && launch && sentByCall < maxTombstones:
+			sentByCall++
 			p.State, p.callPending, p.sentByCall = Sent, true, true
 			cmds = append(cmds, p.command(wire.Launch))
 			launched = append(launched, p)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -8,50 +8,152 @@
 	"amberdeal.example/amberdeal/wire"
 )
 
-// TestDuplicateCalls: an attempt that was launched by a direct call and did not complete stays on its
-// machine's list, since a late copy of the call would start it again after a clear, beside the task's
-// next attempt. What is done, or was launched by a response, is cleared at once.
-func TestDuplicateCalls(t *testing.T) {
+// duplicateCallFixture is a leader with one machine, whose worker sends heartbeats.
+type duplicateCallFixture struct {
+	*Fleet
+	machine *Machine
+	now     time.Time
+	seq     uint64
+}
+
+func newDuplicateCallFixture() *duplicateCallFixture {
 	now := time.Unix(1e9, 0)
-	f := New(1, now, time.Minute, 0, 0)
-	m := f.EnsureMachine(now, "n-1", "g4", "a", false)
-	seq := uint64(0)
-	heartbeat := func(tasks ...wire.ReportedTask) []wire.Command {
-		seq++
-		r := &wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Seq: seq, FencingToken: 1, Tasks: tasks}
-		for _, e := range f.ApplyHeartbeat(now, r, true) {
-			e.Placement.EndHandled = e.Placement.State == Ended
+	f := &duplicateCallFixture{Fleet: New(1, now, time.Minute, 0, 0), now: now}
+	f.machine = f.EnsureMachine(now, "n-1", "g4", "a", false)
+	f.heartbeat(false)
+	return f
+}
+
+// heartbeat applies a heartbeat that lists some tasks, all ends of which are then dealt with, and
+// returns the commands of the response.
+func (f *duplicateCallFixture) heartbeat(launch bool, tasks ...wire.ReportedTask) []wire.Command {
+	f.seq++
+	r := &wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Seq: f.seq, FencingToken: 1, Tasks: tasks}
+	for _, e := range f.ApplyHeartbeat(f.now, r, true) {
+		e.Placement.EndHandled = e.Placement.State == Ended
+	}
+	return f.HeartbeatCommands(f.now, r, launch)
+}
+
+// place plans an attempt that may be sent, and returns it as the worker lists it once it has ended.
+func (f *duplicateCallFixture) place(job string, index int, cause wire.Cause) wire.ReportedTask {
+	p := f.Place(f.now, f.machine, wire.TaskID{Job: job, Index: index}, 7)
+	p.Committed = true
+	return wire.ReportedTask{ID: p.Task, Attempt: 7, State: wire.TaskEnded, Cause: cause}
+}
+
+// call sends what is planned by a direct call that is answered, and returns how many launches it carried.
+func (f *duplicateCallFixture) call() int {
+	_, launched := f.DirectCommands(f.machine, true)
+	f.CallFinished(launched, Executed)
+	return len(launched)
+}
+
+// countVerb counts the commands with a verb.
+func countVerb(commands []wire.Command, verb wire.Verb) (n int) {
+	for _, c := range commands {
+		if c.Verb == verb {
+			n++
 		}
-		return f.HeartbeatCommands(now, r, false)
 	}
-	heartbeat()
-	var ended []wire.ReportedTask
-	for i, cause := range []wire.Cause{wire.CauseStopped, wire.CauseDone} {
-		p := f.Place(now, m, wire.TaskID{Job: "wk-1", Index: i}, 7)
-		p.Committed = true
-		_, launched := f.DirectCommands(m, true)
-		f.CallFinished(launched, Executed)
-		ended = append(ended, wire.ReportedTask{ID: p.Task, Attempt: 7, State: wire.TaskEnded, Cause: cause})
+	return n
+}
+
+// TestDuplicateCalls: an attempt that was launched by a direct call stays on its machine's list for a
+// while after its end, since a late copy of the call would start it again after a clear, also if it
+// is done. What was launched by a response is cleared at once.
+func TestDuplicateCalls(t *testing.T) {
+	f := newDuplicateCallFixture()
+	ended := []wire.ReportedTask{f.place("wk-1", 0, wire.CauseStopped), f.place("wk-1", 1, wire.CauseDone)}
+	f.call()
+	if cmds := f.heartbeat(false, ended...); len(cmds) != 0 {
+		t.Errorf("commands %+v, want none", cmds)
+	}
+	f.now = f.now.Add(duplicateCallWindow - time.Second)
+	if cmds := f.heartbeat(false, ended...); len(cmds) != 0 {
+		t.Errorf("commands %+v at the end of the window, want none", cmds)
 	}
-	if cmds := heartbeat(ended...); len(cmds) != 1 || cmds[0].Task != "wk-1/1" {
-		t.Errorf("commands %+v, want a clear of what is done", cmds)
+	f.now = f.now.Add(time.Second)
+	if cmds := f.heartbeat(false, ended...); len(cmds) != 2 || countVerb(cmds, wire.Clear) != 2 {
+		t.Errorf("commands %+v, want two clears", cmds)
 	}
-	now = now.Add(duplicateCallWindow)
-	if cmds := heartbeat(ended[:1]...); len(cmds) != 1 || cmds[0].Verb != wire.Clear {
-		t.Errorf("commands %+v, want a clear", cmds)
+	byResponse := f.place("wk-2", 0, wire.CauseDone)
+	if cmds := f.heartbeat(true); countVerb(cmds, wire.Launch) != 1 {
+		t.Fatalf("commands %+v, want a launch", cmds)
 	}
-	ended = nil
+	if cmds := f.heartbeat(false, byResponse); len(cmds) != 1 || cmds[0].Verb != wire.Clear {
+		t.Errorf("commands %+v, want a clear of what a response launched", cmds)
+	}
+}
+
+// TestTombstonesAreBounded: a machine's list names at most maxTombstones attempts that were launched by
+// direct calls, of which none is cleared before its time: what is launched beyond them goes by the
+// responses to heartbeats. A call without an answer counts among them as long as the incarnation
+// lasts.
+func TestTombstonesAreBounded(t *testing.T) {
+	f := newDuplicateCallFixture()
+	var ended []wire.ReportedTask
 	for i := range maxTombstones + 3 {
-		p := f.Place(now, m, wire.TaskID{Job: "wk-2", Index: i}, 8)
-		p.Committed = true
-		ended = append(ended, wire.ReportedTask{ID: p.Task, Attempt: 8, State: wire.TaskEnded, Cause: wire.CauseStopped})
+		ended = append(ended, f.place("wk-1", i, wire.CauseDone))
+	}
+	_, unanswered := f.DirectCommands(f.machine, true)
+	if len(unanswered) != maxTombstones {
+		t.Errorf("%d launches by a call, want %d", len(unanswered), maxTombstones)
+	}
+	f.CallFinished(unanswered[1:], Executed)
+	if cmds := f.heartbeat(true, ended[:maxTombstones]...); len(cmds) != 3 || countVerb(cmds, wire.Launch) != 3 {
+		t.Errorf("commands %+v, want a launch of each that is left", cmds)
+	}
+	if cmds := f.heartbeat(true, ended...); len(cmds) != 3 || countVerb(cmds, wire.Clear) != 3 {
+		t.Errorf("commands %+v, want a clear of each that a response launched", cmds)
+	}
+	ended = ended[:maxTombstones]
+	f.place("wk-2", 0, wire.CauseDone)
+	if n := f.call(); n != 0 {
+		t.Errorf("%d launches by a call on a full list", n)
+	}
+	f.now = f.now.Add(duplicateCallWindow)
+	if cmds := f.heartbeat(false, ended...); countVerb(cmds, wire.Clear) != maxTombstones-1 {
+		t.Errorf("%d clears after the window, want all but the one without an answer", countVerb(cmds, wire.Clear))
+	}
+	f.heartbeat(false, ended[:1]...)
+	if n := f.call(); n != 1 {
+		t.Errorf("%d launches by a call when the list has room, want 1", n)
+	}
+}
+
+// TestUnlaunchedAttempts: an attempt that a machine lists without a launch, or that is active again
+// after its end, is told apart, and remembered like one that was launched by a call.
+func TestUnlaunchedAttempts(t *testing.T) {
+	f := newDuplicateCallFixture()
+	apply := func(task wire.ReportedTask) Event {
+		t.Helper()
+		f.seq++
+		r := &wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Seq: f.seq, FencingToken: 1, Tasks: []wire.ReportedTask{task}}
+		events := f.ApplyHeartbeat(f.now, r, true)
+		if len(events) != 1 {
+			t.Fatalf("events %+v, want one", events)
+		}
+		return events[0]
+	}
+	task := f.place("wk-1", 0, wire.CauseDone)
+	f.call()
+	if e := apply(task); e.Unlaunched {
+		t.Error("an attempt that a call launched counts as not launched")
+	}
+	task.State = wire.TaskFetching
+	if e := apply(task); !e.Unlaunched {
+		t.Error("an attempt that is active again after its end counts as launched")
 	}
-	f.DirectCommands(m, true)
-	for _, p := range m.Placements() {
-		p.callPending = false
+	stranger := wire.ReportedTask{ID: wire.TaskID{Job: "wk-2"}, Attempt: 3, State: wire.TaskEnded, Cause: wire.CauseNoRoom}
+	f.heartbeat(false)
+	e := apply(stranger)
+	if !e.Unlaunched {
+		t.Error("an attempt without a launch counts as launched")
 	}
-	if cmds := heartbeat(ended...); len(cmds) != 3 {
-		t.Errorf("%d commands, want clears of what is too much for its heartbeats", len(cmds))
+	e.Placement.EndHandled = true
+	if cmds := f.heartbeat(false, stranger); len(cmds) != 0 {
+		t.Errorf("commands %+v, want none: more copies may come", cmds)
 	}
 }
 
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -49,8 +49,7 @@
 	}
 	f.noteContact(now, m, r, own)
 	for _, t := range r.Tasks {
-		if e, changed := f.applyTaskStatus(now, m, t); changed {
-			e.Unlaunched = e.Unlaunched && known
+		if e, changed := f.applyTaskStatus(now, m, t, known); changed {
 			events = append(events, e)
 		}
 	}
@@ -146,15 +145,19 @@
 }
 
 // applyTaskStatus applies the status of one listed task and reports whether its state has changed.
-func (f *Fleet) applyTaskStatus(now time.Time, m *Machine, t wire.ReportedTask) (e Event, changed bool) {
+// Where all is known that may be on the machine, an attempt that appears, or is active again after its
+// end, was started by a late copy of a call, of which more may come.
+func (f *Fleet) applyTaskStatus(now time.Time, m *Machine, t wire.ReportedTask, known bool) (e Event, changed bool) {
 	p, state := m.findPlacement(t.ID, t.Attempt), stateOf(t.State)
-	if p == nil {
+	appears := p == nil
+	if appears {
 		p = &Placement{Task: t.ID, Attempt: t.Attempt, Machine: m.ID, PlacedAt: now, Committed: true}
 		f.addPlacement(m, p)
-		e.Unlaunched = true
 	}
 	e.Placement = p
-	e.Unlaunched = e.Unlaunched || p.State == Ended && state != Ended
+	if e.Unlaunched = known && (appears || p.State == Ended && state != Ended); e.Unlaunched {
+		p.sentByCall, p.endedAt = true, time.Time{}
+	}
 	if p.State == Sent {
 		m.lostCommands = 0
 	}
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -111,3 +111,13 @@
 	}
 	return n
 }
+
+// countSentByCall counts the attempts on the machine's list that were launched by direct calls.
+func (m *Machine) countSentByCall() (n int) {
+	for _, p := range m.placements {
+		if p.sentByCall {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -41,7 +41,8 @@
 	// callPending: the launch was also sent by a direct call that was not answered. It may be
 	// executed as long as the incarnation lasts, so that the attempt is neither withdrawn nor cleared.
 	callPending bool
-	// sentByCall: the launch was sent by a direct call, of which a copy may yet come.
+	// sentByCall: the launch was sent by a direct call, of which a copy may yet come. So it was, by
+	// whomever, if the attempt was listed without a launch.
 	sentByCall bool
 	endedAt    time.Time // when it was first seen ended
 	// restored: the state service names it, from before the token. Its incarnation is not known, so
@@ -74,16 +75,22 @@
 func (p *Placement) mayBeThere() bool { return p.Active() || p.callPending }
 
 const (
-	// duplicateCallWindow is for how long a copy of a call that was answered may yet come.
+	// duplicateCallWindow is for how long after the end of an attempt a copy of the answered call that
+	// launched it may yet come. The protocol gives late messages no bound ("minutes late") and knows no
+	// copies of what was delivered; only the fencing token and the incarnation end what a copy can do,
+	// and neither changes while a leader leads. The window is the smallest exception from that: the
+	// list must end, and a copy that comes later still starts its attempt again (docs/design.md).
 	duplicateCallWindow = 3 * time.Minute
-	// maxTombstones is how many attempts stay on a machine's list for that: the list goes into each
-	// of its heartbeats.
+	// maxTombstones bounds the attempts on a machine's list that were launched by direct calls, since
+	// the list goes into each of its heartbeats. Where it is full, launches go by the responses to
+	// heartbeats alone, which are never executed late.
 	maxTombstones = 100
 )
 
-// mayBeDuplicated reports whether a late copy of the call that launched an attempt would start it
-// again once it was cleared, while the task may be elsewhere. As long as the worker lists the
-// attempt, a copy does nothing. What is done is never started elsewhere.
+// mayBeDuplicated reports whether a late copy of the call that launched an ended attempt would start
+// it again once it was cleared: beside the task's next attempt, or, if the task is done, for its team,
+// for its cancelled job and on its machine for a moment. As long as the worker lists the attempt, a
+// copy does nothing.
 func (p *Placement) mayBeDuplicated(now time.Time) bool {
 	return now.Sub(p.endedAt) < duplicateCallWindow
 }
@@ -91,7 +98,7 @@
 // IsTombstone reports whether nothing is left to do for an attempt but to remember it, for the sake
 // of late copies.
 func (p *Placement) IsTombstone() bool {
-	return p.State == Ended && p.EndHandled && p.sentByCall && !p.callPending && p.Cause != wire.CauseDone
+	return p.State == Ended && p.EndHandled && p.sentByCall && !p.callPending
 }
 
 func (p *Placement) command(verb wire.Verb) wire.Command {
