--- a/internal/cas/client_test.go
+++ b/internal/cas/client_test.go
@@ -30,3 +30,16 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// TestTooFewResponses: a server that leaves out some of the blobs that a batch asked for is an error. What
+// happened before: the blobs that were not answered were never passed on and never missed, so that a
+// caller went on without some of its files.
+func TestTooFewResponses(t *testing.T) {
+	text, other := []byte("content"), []byte("other content")
+	one := &repb.BatchReadBlobsResponse_Response{Data: text}
+	c := &Client{blobs: &fakeBlobs{responses: []*repb.BatchReadBlobsResponse_Response{one}}}
+	err := c.ReadMany(t.Context(), []Digest{Sum(sha, text), Sum(sha, other)}, func(Digest, []byte) error { return nil })
+	if err == nil || !strings.Contains(err.Error(), "reading 2 blobs: the server answers with 1") {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/emulator/config_test.go
+++ b/internal/emulator/config_test.go
@@ -89,3 +89,16 @@
 		}
 	}
 }
+
+// TestFaultNamesInOrder: the names in a fault that the cluster does not have are told in the same order
+// each time. What happened before: "from" and "to" were gone through in the order of a map.
+func TestFaultNamesInOrder(t *testing.T) {
+	c := &Config{Zones: []string{"a"}}
+	for range 50 {
+		var wrong fieldErrors
+		(&Fault{From: "moon", To: "mars"}).checkNames(c, &wrong)
+		if len(wrong) != 2 || !strings.Contains(wrong[0].Error(), "moon") || !strings.Contains(wrong[1].Error(), "mars") {
+			t.Fatalf("faults %v, want from before to", wrong)
+		}
+	}
+}
