--- a/internal/action/inputs.go
+++ b/internal/action/inputs.go
@@ -139,7 +139,7 @@
 
 // notFoundAsFailed converts the error for a blob that was evicted meanwhile to an actionError.
 func notFoundAsFailed(err error) error {
-	if status.Code(errors.Unwrap(err)) == codes.NotFound {
+	if status.Code(err) == codes.NotFound {
 		return &actionError{code: codes.FailedPrecondition, message: err.Error()}
 	}
 	return err
--- a/internal/action/run.go
+++ b/internal/action/run.go
@@ -191,10 +191,8 @@
 	if errors.Is(err, cas.ErrMalformed) {
 		return invalidAction("%v", err)
 	}
-	for e := err; e != nil; e = errors.Unwrap(e) {
-		if status.Code(e) == codes.NotFound {
-			return missingBlobs(g)
-		}
+	if status.Code(err) == codes.NotFound {
+		return missingBlobs(g)
 	}
 	return err
 }
--- a/internal/cas/client.go
+++ b/internal/cas/client.go
@@ -359,7 +359,7 @@
 	if err := Retry(ctx, func() (err error) { resp, err = c.blobs.BatchReadBlobs(ctx, req); return err }); err != nil {
 		return err
 	}
-	if len(resp.Responses) > len(batch) {
+	if len(resp.Responses) != len(batch) {
 		return fmt.Errorf("reading %d blobs: the server answers with %d", len(batch), len(resp.Responses))
 	}
 	for i, r := range resp.Responses {
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -166,10 +166,14 @@
 	if f.Who != "" && !slices.Contains(c.names(), f.Who) {
 		wrong.add("who", "%q: must be one of %s", f.Who, strings.Join(c.names(), ", "))
 	}
-	for field, side := range map[string]string{"from": f.From, "to": f.To} {
-		if side != "" && !c.endpoint(side) {
-			wrong.add(field, "%q: must be state, cloud, controllers, machines, all, zone:NAME, or one of %s", side, strings.Join(c.names(), ", "))
-		}
+	c.checkEndpoint("from", f.From, wrong)
+	c.checkEndpoint("to", f.To, wrong)
+}
+
+// checkEndpoint checks that the cluster has an endpoint that a field names.
+func (c *Config) checkEndpoint(field, name string, wrong *fieldErrors) {
+	if name != "" && !c.endpoint(name) {
+		wrong.add(field, "%q: must be state, cloud, controllers, machines, all, zone:NAME, or one of %s", name, strings.Join(c.names(), ", "))
 	}
 }
 
--- a/internal/reapi/submit.go
+++ b/internal/reapi/submit.go
@@ -69,10 +69,8 @@
 	case errors.Is(err, cas.ErrMalformed):
 		return status.Error(codes.InvalidArgument, err.Error())
 	}
-	for e := err; e != nil; e = errors.Unwrap(e) {
-		if status.Code(e) == codes.NotFound {
-			return action.MissingStatus(g).Err()
-		}
+	if status.Code(err) == codes.NotFound {
+		return action.MissingStatus(g).Err()
 	}
 	return storeUnavailable(err)
 }
--- a/internal/scale/agents.go
+++ b/internal/scale/agents.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -33,10 +34,11 @@
 	config       *emulator.Config
 	sizes        []int // how many actions each runs at once
 
-	mu    sync.Mutex
-	procs map[string]*process // by machine type
-	blobs *process
-	done  atomic.Int64 // actions
+	mu     sync.Mutex
+	procs  map[string]*process // by machine type
+	failed error               // to start an agent
+	blobs  *process
+	done   atomic.Int64 // actions
 }
 
 // process is a process that this program has started. It is ended by its id.
@@ -54,12 +56,12 @@
 	cmd.Env = append(os.Environ(), "LOG_LEVEL=error")
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // Ctrl-C is this program's to deal with
 	if err := cmd.Start(); err != nil {
-		return &process{cmd}, fmt.Errorf("starting %s: %w", program, err)
+		return nil, fmt.Errorf("starting %s: %w", program, err)
 	}
 	return &process{cmd}, nil
 }
 
-// Kill implements standin.Machine.
+// Kill implements simulator.Machine.
 func (p *process) Kill() {
 	_ = p.cmd.Process.Kill()
 	_ = p.cmd.Wait()
@@ -68,24 +70,43 @@
 // agentType is the machine type of an agent that runs that many actions at once.
 func agentType(actions int) string { return fmt.Sprintf("agent-%d", actions) }
 
-// machine starts the agent of a machine; it returns nil for machines of other types.
+// machine starts the agent of a machine; it returns nil for machines of other types, and where the
+// agent could not be started, which startError then tells.
 func (a *agents) machine(id, addr, typ, zone string, spot bool) simulator.Machine {
 	var actions int
 	if _, err := fmt.Sscanf(typ, "agent-%d", &actions); err != nil {
 		return nil
 	}
-	path := filepath.Join(a.dir, id+".ini")
-	if err := os.WriteFile(path, []byte(a.settings(id, addr, typ, zone, spot, actions)), 0o600); err != nil {
+	p, err := a.startAgent(id, a.settings(id, addr, typ, zone, spot, actions))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.failed = errors.Join(a.failed, err)
 		return nil
 	}
+	a.procs[typ] = p
+	return p
+}
+
+// startAgent starts the agent of a machine with its settings.
+func (a *agents) startAgent(id, settings string) (*process, error) {
+	path := filepath.Join(a.dir, id+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, fmt.Errorf("writing the settings of agent %s: %w", id, err)
+	}
 	p, err := start(a.program, filepath.Join(a.dir, id+".log"), "agent", "--config", path)
 	if err != nil {
-		return nil
+		return nil, fmt.Errorf("agent %s: %w", id, err)
 	}
+	return p, nil
+}
+
+// startError tells which agents could not be started. An emulated machine runs in the place of each,
+// so that what was measured of agents is void.
+func (a *agents) startError() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.procs[typ] = p
-	return p
+	return a.failed
 }
 
 // settings writes an agent's settings file.
@@ -152,7 +173,7 @@
 		}
 	}
 	group.Wait()
-	return nil
+	return a.startError()
 }
 
 // execute has an action executed on a machine of a type. The mark makes the action unique, so that
