fleet: what a heartbeat leaves out is found in one pass

Each placement was looked for in the heartbeat's list, which costs the square of the list now that it names what is done for three minutes. A placement keeps the number of the heartbeat that listed it last; the part of reconcileMissing that takes a lost launch back is a function of its own.

--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"amberdeal.example/amberdeal/wire"
@@ -54,7 +53,7 @@
 		}
 	}
 	if m.SeenAtToken && r.FencingToken >= f.FencingToken {
-		events = append(events, f.reconcileMissing(now, m, r, own)...)
+		events = append(events, f.reconcileMissing(now, m, own)...)
 	}
 	if own {
 		m.heartbeatSeq, m.heartbeatAt = r.Seq, now
@@ -112,38 +111,42 @@
 }
 
 // reconcileMissing deals with what a heartbeat at the own token does not list (proof 1).
-func (f *Fleet) reconcileMissing(now time.Time, m *Machine, r *wire.Heartbeat, own bool) (events []Event) {
-	lost := false // a launch that a response carried
+func (f *Fleet) reconcileMissing(now time.Time, m *Machine, own bool) (events []Event) {
+	lostLaunch := false // that a response carried
 	for _, p := range m.Placements() {
-		listed := func(t wire.ReportedTask) bool { return t.Attempt == p.Attempt && t.ID == p.Task }
-		if p.State == Planned || slices.ContainsFunc(r.Tasks, listed) {
-			continue
-		}
-		if p.State != Sent {
+		switch {
+		case p.State == Planned || p.lastListed == m.lastMessage():
+		case p.State != Sent:
 			f.removePlacement(m, p)
 			if p.State != Ended {
 				events = append(events, Event{Placement: p, Gone: true})
 			}
-			continue
-		}
-		// One heartbeat is in flight at a time, and the response to it is executed before the next
-		// is made, or never: the launch was lost, and may be sent again, unless it is to stop anyway.
-		if !own {
-			continue
-		}
-		lost = lost || p.sentInResponse
-		p.State, p.sentInResponse = Planned, false
-		if p.Stop != nil && !p.callPending {
-			f.removePlacement(m, p)
-			events = append(events, Event{Placement: p, Gone: true})
+		case own:
+			// One heartbeat is in flight at a time, and the response to it is executed before the
+			// next is made, or never: the launch was lost.
+			lostLaunch = lostLaunch || p.sentInResponse
+			if f.takeBackLaunch(m, p) {
+				events = append(events, Event{Placement: p, Gone: true})
+			}
 		}
 	}
-	if lost {
+	if lostLaunch {
 		m.noteLostCommand(now)
 	}
 	return events
 }
 
+// takeBackLaunch notes that the response that carried a launch was lost. The launch may be sent again,
+// unless it is to stop anyway: then its placement is removed.
+func (f *Fleet) takeBackLaunch(m *Machine, p *Placement) (removed bool) {
+	p.State, p.sentInResponse = Planned, false
+	if p.Stop == nil || p.callPending {
+		return false
+	}
+	f.removePlacement(m, p)
+	return true
+}
+
 // applyTaskStatus applies the status of one listed task and reports whether its state has changed.
 // Where all is known that may be on the machine, an attempt that appears, or is active again after its
 // end, was started by a late copy of a call, of which more may come.
@@ -163,6 +166,7 @@
 	}
 	changed = !p.Reported || p.State != state
 	p.Reported, p.State, p.Cause, p.Saved = true, state, t.Cause, t.Saved
+	p.lastListed = m.lastMessage()
 	if state == Running && p.StartedAt.IsZero() {
 		p.StartedAt = now
 	}
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -34,6 +34,7 @@
 	PlacedAt   time.Time
 	StartedAt  time.Time // when it was first seen running
 	Reported   bool      // a heartbeat has listed it
+	lastListed messageNumber
 
 	// sentInResponse: a response carried the launch, and no heartbeat has shown yet that it was not
 	// taken. A direct call that was refused beside it proves nothing.
--- a/internal/leader/benchmark_test.go
+++ b/internal/leader/benchmark_test.go
@@ -210,6 +210,34 @@
 	}
 }
 
+// BenchmarkTombstones handles heartbeats that list attempts which have ended and are remembered for the
+// sake of late copies, beside running tasks.
+func BenchmarkTombstones(b *testing.B) {
+	for _, n := range []int{0, 4, 20, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newLargeFleet(b, 2000, 1)
+			for f.runRound() > 0 {
+			}
+			f.listEnded(n)
+			benchHeartbeat(b, f)
+			b.ReportMetric(float64(len(wire.Encode(f.heartbeats[0]))), "B/heartbeat")
+		})
+	}
+}
+
+// listEnded has each machine list so many attempts of jobs that are over.
+func (f *largeFleet) listEnded(n int) {
+	const earlier = 2 << 24 // attempts of an earlier token
+	for _, hb := range f.heartbeats {
+		for i := range n {
+			id := wire.TaskID{Job: fmt.Sprintf("wk-9%05d", i)}
+			hb.Tasks = append(hb.Tasks, wire.ReportedTask{Task: id.String(), ID: id, Attempt: earlier + uint64(i), State: wire.TaskEnded, Cause: wire.CauseDone})
+		}
+	}
+	f.heartbeatAll()
+	f.Reconcile(f.now, f.view.Snapshot())
+}
+
 // BenchmarkDecide decides while nothing can be placed: the fleet is full and
 // jobs wait.
 func BenchmarkDecide(b *testing.B) { sizes(b, benchDecide) }
