--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -104,10 +104,17 @@
 	_ = h.RecordValue(min(maxMillis, max(1, time.Since(since).Milliseconds())))
 }
 
+// reset forgets the jobs and results of an earlier run.
+func (r *Runner) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.classes, r.jobs = make(map[string]*ClassResult), make(map[string]*trackedJob)
+}
+
 // Run submits the jobs of the mix, each at its time, and follows them until they are over.
 // progress is called with how many were sent, how many there are, and how many are open.
 func (r *Runner) Run(ctx context.Context, progress func(sent, all, open int)) (*Result, error) {
-	r.classes, r.jobs = make(map[string]*ClassResult), make(map[string]*trackedJob)
+	r.reset()
 	arrivals := r.Mix.Arrivals(r.Prefix)
 	r.history.begin()
 	stopJudging := r.startJudging(ctx)
