leader: nothing of a job that is over by the present view is launched

Symptom: tasks started after their user had been told that the job is cancelled, by launches that left up to a second later. Cause: placements are compared with the view once a second (reconcileInterval); what was planned before left in between, by calls and by responses. Change: before launches leave for a machine, what is planned there of jobs that are final in the present view is withdrawn, one look-up a planned task.

--- a/internal/leader/calls.go
+++ b/internal/leader/calls.go
@@ -101,6 +101,7 @@
 		if m.Addr == "" || m.Releasing || last.InFlight(now) {
 			continue
 		}
+		l.withdrawEnded(now, m)
 		c := newDirectCall(m)
 		c.commands, c.launches = l.fleet.DirectCommands(m, leaseValid && l.mayLaunchByCall(now, m, last))
 		if len(c.commands) == 0 {
--- a/internal/leader/heartbeats.go
+++ b/internal/leader/heartbeats.go
@@ -28,6 +28,9 @@
 	if !l.observe(now, hb, true) || l.fleet.MustLapse(now, hb.Machine) {
 		return response, false
 	}
+	if m := l.fleet.Machine(hb.Machine); m != nil {
+		l.withdrawEnded(now, m)
+	}
 	cmds := l.fleet.HeartbeatCommands(now, hb, launch)
 	l.logCommands(hb.Machine, "heartbeat response", cmds)
 	return wire.HeartbeatResponse{FencingToken: l.lease.FencingToken, Commands: cmds}, true
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// withdrawEnded withdraws what is planned on a machine of jobs that are over by what is known now. All
+// placements are compared with the view once in a while only (reconcileInterval), and nothing may be
+// launched after a confirmed cancellation.
+func (l *Leader) withdrawEnded(now time.Time, m *fleet.Machine) {
+	for _, p := range m.Placements() {
+		if p.State != fleet.Planned || !p.Committed {
+			continue
+		}
+		if rec, known := l.jobIndex.Job(p.Task.Job); known && rec.Stage.Final() {
+			l.reconcileEnded(now, m, p)
+		}
+	}
+}
+
 // reconcilePlacement brings one placement in line with its job.
 func (l *Leader) reconcilePlacement(now time.Time, m *fleet.Machine, p *fleet.Placement) {
 	live := l.liveJobs[p.Task.Job]
