leader: each stop is ordered and logged in one place

Symptom: the tasks of a broken gang, and a later attempt of a task that was done after all, stopped without a line in the log. Cause: four places set the order, two of them logged. orderStop does both; the end of a job stays at debug, since a job may have many tasks.

--- a/internal/leader/gangs.go
+++ b/internal/leader/gangs.go
@@ -51,7 +51,7 @@
 func (l *Leader) stopBrokenGang(now time.Time, left []*fleet.Placement) {
 	for _, p := range left {
 		if p.Stop == nil && !l.keepsFetching(now, p) && !l.fleet.Withdraw(p) {
-			p.Stop = &fleet.StopOrder{Reason: "gang is broken", Since: now}
+			l.orderStop(p, fleet.StopOrder{Reason: "gang is broken", Since: now})
 		}
 	}
 }
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -91,8 +91,7 @@
 		return
 	}
 	if p.Stop == nil || !p.Stop.JobFinished {
-		p.Stop = &fleet.StopOrder{Reason: "job is over", Since: now, JobFinished: true, RenewUntil: j.endedAt.Add(l.cfg.Workers.MaxCancelStaleness())}
-		l.log.Debug("stopping", "task", p.Task, "machine", p.Machine, "reason", "job is over")
+		l.orderStop(p, fleet.StopOrder{Reason: "job is over", Since: now, JobFinished: true, RenewUntil: j.endedAt.Add(l.cfg.Workers.MaxCancelStaleness())})
 	}
 	// A machine that can't be reached, or to which a launch may still be on its way, is released
 	// before the task must be gone. While the cloud does not confirm that, the launch is kept from
--- a/internal/leader/stop.go
+++ b/internal/leader/stop.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"amberdeal.example/amberdeal/internal/fleet"
@@ -17,13 +19,23 @@
 	grace := stopGrace(job)
 	for _, q := range l.stoppedTogether(p, job) {
 		if q.Stop == nil && !l.fleet.Withdraw(q) {
-			q.Stop = &fleet.StopOrder{Grace: grace, Reason: why, Since: now}
+			l.orderStop(q, fleet.StopOrder{Grace: grace, Reason: why, Since: now})
 			l.countFailedAttempt(q)
-			l.log.Info("stopping", "task", q.Task, "attempt", q.Attempt, "machine", q.Machine, "reason", why)
 		}
 	}
 }
 
+// orderStop has a placement stopped by the next commands for its machine, and logs why. The end of a job,
+// which may have many tasks, is logged for the job.
+func (l *Leader) orderStop(p *fleet.Placement, order fleet.StopOrder) {
+	p.Stop = &order
+	level := slog.LevelInfo
+	if order.JobFinished {
+		level = slog.LevelDebug
+	}
+	l.log.Log(context.Background(), level, "stopping", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "reason", order.Reason)
+}
+
 // stopGrace returns the time that a task of a job gets to save a checkpoint.
 func stopGrace(job *wire.Job) time.Duration {
 	if job.CheckpointS <= 0 {
@@ -77,6 +89,6 @@
 		p = l.fleet.ActivePlacement(t)
 	}
 	if p != nil && p.Stop == nil && !gang {
-		p.Stop = &fleet.StopOrder{Reason: "its task is done", Since: p.PlacedAt}
+		l.orderStop(p, fleet.StopOrder{Reason: "its task is done", Since: p.PlacedAt})
 	}
 }
