--- a/internal/leader/stop.go
+++ b/internal/leader/stop.go
@@ -1,8 +1,6 @@
 package leader
 
 import (
-	"context"
-	"log/slog"
 	"time"
 
 	"amberdeal.example/amberdeal/internal/fleet"
@@ -29,11 +27,12 @@
 // which may have many tasks, is logged for the job.
 func (l *Leader) orderStop(p *fleet.Placement, order fleet.StopOrder) {
 	p.Stop = &order
-	level := slog.LevelInfo
+	fields := []any{"task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "reason", order.Reason}
 	if order.JobFinished {
-		level = slog.LevelDebug
+		l.log.Debug("stopping", fields...)
+		return
 	}
-	l.log.Log(context.Background(), level, "stopping", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "reason", order.Reason)
+	l.log.Info("stopping", fields...)
 }
 
 // stopGrace returns the time that a task of a job gets to save a checkpoint.
