--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -32,9 +32,9 @@
 	Saved      bool
 	Stop       *StopOrder // nil unless it is to stop
 	PlacedAt   time.Time
-	StartedAt  time.Time // when it was first seen running
-	Reported   bool      // a heartbeat has listed it
-	lastListed messageNumber
+	StartedAt  time.Time     // when it was first seen running
+	Reported   bool          // a heartbeat has listed it
+	lastListed messageNumber // the newest heartbeat that listed it
 
 	// sentInResponse: a response carried the launch, and no heartbeat has shown yet that it was not
 	// taken. A direct call that was refused beside it proves nothing.
--- a/internal/simtest/late_launch_test.go
+++ b/internal/simtest/late_launch_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,6 +55,8 @@
 	shardings *shardingSettings
 	mu        sync.Mutex
 	calls     map[wire.TaskID][][]byte
+	answered  int // copies that a machine answered
+	executed  int // copies of these that it executed
 }
 
 // recordCalls starts to record the direct calls of a simulation.
@@ -110,16 +113,20 @@
 	if !up {
 		return
 	}
-	executed, calls := 0, r.of(task)
+	calls := r.of(task)
 	for _, call := range calls {
 		ctx, cancel := context.WithTimeout(r.ctx, sec)
 		resp, err := r.caller.Call(ctx, simulator.Address(m.host, 9000), "POST", wire.PathCommands, call)
 		cancel()
-		if err == nil && resp.Status == 200 {
-			executed++
+		if err != nil {
+			continue
+		}
+		r.answered++
+		if resp.Status == 200 {
+			r.executed++
 		}
 	}
-	log(executed, "of", len(calls), "copies of the launch of", task, "are executed")
+	log(len(calls), "copies of the launch of", task, "sent; so far answered:", r.answered, "executed:", r.executed)
 }
 
 // sendCopies delivers copies, none of which may put the task on its machine again.
@@ -189,6 +196,8 @@
 	copies   func(r *callRecorder, tasks []wire.TaskID)
 	// byHeartbeats: some of the tasks are launched by the responses to heartbeats, without a call.
 	byHeartbeats bool
+	// refused: the machine may have the next token before any copy comes, and refuses all.
+	refused bool
 	// startsAgain: the copies come later than any window can be. Each task starts once more.
 	startsAgain bool
 }
@@ -280,19 +289,13 @@
 		r.crash(r.leaderOf("fleet"), 300*time.Millisecond, 0)
 		during20s(r, tasks)
 	}},
-	{name: "the leader ends, and the machine hears of the next late", setUp: teamAtLimit(wire.Array, 1), ended: []int{0}, copies: func(r *callRecorder, tasks []wire.TaskID) {
+	{name: "the leader ends, and the machine hears of the next late", refused: true, setUp: teamAtLimit(wire.Array, 1), ended: []int{0}, copies: func(r *callRecorder, tasks []wire.TaskID) {
 		m, _ := r.machineOf(tasks[0])
 		r.crash(r.leaderOf("fleet"), 300*time.Millisecond, 0)
 		loseInbound(6*sec, m)
 		during20s(r, tasks)
 	}},
-	{name: "the answer to its call was lost", settings: func(w *simulation) {
-		w.reconfigureMachines(2*sec, func() time.Duration { return 200 * time.Millisecond })
-	}, setUp: teamAtLimit(wire.Array, 1), ended: []int{0}, copies: func(r *callRecorder, tasks []wire.TaskID) {
-		r.reconfigureMachines(2*sec, func() time.Duration { return 0 })
-		atLimit(r)
-		afterClear(r, tasks)
-	}},
+	lostAnswerDay(),
 	{name: "its machine has lost the image since", setUp: func(w *simulation) {
 		w.submitter(lateLaunchSeed, jobOf("wk-1", wire.Array, 1, 5*sec, wholeMachine, withImage("img-a")), 6*sec, 0, 5*sec)
 		w.submitter(lateLaunchSeed, jobOf("wk-2", wire.Array, 1, 5*sec, wholeMachine, withImage("img-b")), 12*sec, 0, 5*sec)
@@ -320,6 +323,25 @@
 	}},
 }
 
+// lostAnswerDay is a day on which machines answer no direct call, and execute each a moment later, until
+// the task has ended.
+func lostAnswerDay() lateLaunchDay {
+	var answers atomic.Bool
+	delay := func() time.Duration {
+		if answers.Load() {
+			return 0
+		}
+		return 200 * time.Millisecond
+	}
+	return lateLaunchDay{name: "the answer to its call was lost", setUp: teamAtLimit(wire.Array, 1), ended: []int{0},
+		settings: func(w *simulation) { w.reconfigureMachines(2*sec, delay) },
+		copies: func(r *callRecorder, tasks []wire.TaskID) {
+			answers.Store(true)
+			atLimit(r)
+			afterClear(r, tasks)
+		}}
+}
+
 // manyTasks are more tasks than attempts that a machine's list keeps for the sake of late copies.
 const manyTasks = 150
 
@@ -372,6 +394,9 @@
 	}
 	log("copies arrive")
 	d.copies(r, tasks)
+	if r.answered == 0 || r.executed == 0 && !d.refused {
+		t.Errorf("%d copies were answered and %d executed: nothing is shown", r.answered, r.executed)
+	}
 	want := 1
 	if d.startsAgain {
 		want = 2
