Review, case 2: mistaken jobs take machines out of use

A machine on which two different jobs have failed gets no work again while anything runs there, also if these jobs failed everywhere and were called off.

Change: the case, below review/.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -40,7 +40,8 @@
 	settings func() settings
 	play     caseFunc
 }{
-	"loose": {looseSettings, playLoose},
+	"loose":  {looseSettings, playLoose},
+	"cordon": {cordonSettings, playCordon},
 }
 
 // The kernel ends the controllers with the thread that started them, however this process ends: they are started
