Review, case 3: a replica that failed once is not started again

A job avoids a machine on which it has failed for as long as the leader leads; the guard that overrides this looks only at jobs without any task.

Change: the case, below review/.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -42,6 +42,7 @@
 }{
 	"loose":  {looseSettings, playLoose},
 	"cordon": {cordonSettings, playCordon},
+	"avoid":  {avoidSettings, playAvoid},
 }
 
 // The kernel ends the controllers with the thread that started them, however this process ends: they are started
