Cordons end: mistaken jobs take no machine out of use for good

Two jobs that had been submitted with a mistake had failed on both machines and were then cancelled; a replica of a service ran on each.

Cause: a machine was cordoned once two different jobs had failed there, and nothing but its release ended that. A machine is released when it is empty, and one with a replica never is. Evidence: the leader's log has "machine cordoned" for both machines 1.5 s apart, after the second "task failed" of each, and nothing about them for the next 90 s.

A machine on which different jobs fail is still cordoned at the second, released when empty, and cordoned again by the next failure.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,7 +49,7 @@
 	delete(f.removedMachines, id)
 	m := &Machine{
 		ID: id, Type: typ, Zone: zone, Spot: spot, DiscoveredAt: now, IdleSince: now, provenEmpty: true,
-		JobFailures: make(map[string]int), imageCache: imageCache{images: make(map[string]cachedImage)},
+		JobFailures: make(map[string]time.Time), imageCache: imageCache{images: make(map[string]cachedImage)},
 	}
 	f.machines[id] = m
 	i, _ := slices.BinarySearchFunc(f.sortedMachines, id, func(m *Machine, id string) int { return cmp.Compare(m.ID, id) })
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -11,14 +11,14 @@
 type Machine struct {
 	ID, Addr, Type, Zone string
 	Spot                 bool
-	Recorded             bool           // in the state service, which is required before anything is launched on it
-	DiscoveredAt         time.Time      // when this leader learned of it
-	ListedAt             time.Time      // when the cloud first listed it
-	TerminationTime      time.Time      // when the cloud terminates it; zero without a termination notice
-	DrainReason          string         // why nothing new is placed here; empty if placements are allowed
-	Releasing            bool           // its release has been requested
-	JobFailures          map[string]int // failed attempts on this machine, by job
-	IdleSince            time.Time      // since when it has had no tasks
+	Recorded             bool                 // in the state service, which is required before anything is launched on it
+	DiscoveredAt         time.Time            // when this leader learned of it
+	ListedAt             time.Time            // when the cloud first listed it
+	TerminationTime      time.Time            // when the cloud terminates it; zero without a termination notice
+	Cordoned             bool                 // nothing new is placed here
+	Releasing            bool                 // its release has been requested
+	JobFailures          map[string]time.Time // when each job last failed here, since a task was last done here
+	IdleSince            time.Time            // since when it has had no tasks
 
 	Up          bool // a heartbeat has been received
 	UpSince     time.Time
@@ -59,7 +59,7 @@
 
 // launchable reports whether tasks may be launched on the machine.
 func (m *Machine) launchable() bool {
-	return m.SeenAtToken && m.DrainReason == "" && !m.Releasing && m.TerminationTime.IsZero()
+	return m.SeenAtToken && !m.Cordoned && !m.Releasing && m.TerminationTime.IsZero()
 }
 
 // isStale reports whether the worker no longer waits for the response to a heartbeat: it has sent a
--- /dev/null
+++ b/internal/leader/cordon_test.go
@@ -0,0 +1,155 @@
+package leader
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/wire"
+)
+
+// cordonTest is a leader with machines on each of which a replica of a service runs, so that none is released.
+type cordonTest struct {
+	*traceDriver
+	machines   []string
+	heartbeats int
+	attempts   uint64
+}
+
+func newCordonTest(t *testing.T, machines int) *cordonTest {
+	test := &cordonTest{traceDriver: newTraceDriver(t)}
+	test.step(fmt.Sprintf("job wk-100 service team=blue tasks=%d", machines))
+	test.step("claim term=2")
+	for i := range machines {
+		test.machines = append(test.machines, fmt.Sprintf("n-%d", i+1))
+	}
+	test.pass(0)
+	return test
+}
+
+// fail has a job fail on machines, one after the other.
+func (test *cordonTest) fail(job string, machines ...string) {
+	for _, machine := range machines {
+		test.attempts++
+		test.leader.handleTaskEnd(test.now, &fleet.Placement{Task: wire.TaskID{Job: job}, Attempt: 1<<attemptBits | (1000 + test.attempts), Machine: machine,
+			State: fleet.Ended, Cause: wire.CauseError})
+	}
+}
+
+// pass lets time pass, in which the machines send heartbeats and the leader decides rounds. It returns what was launched.
+func (test *cordonTest) pass(d time.Duration) (launched []string) {
+	for end := test.now.Add(d); ; test.now = test.now.Add(time.Second) {
+		test.heartbeats++
+		for i, machine := range test.machines {
+			test.step(fmt.Sprintf("report %s 1/%d term=2: wk-100/%d#1.%d running", machine, test.heartbeats, i, i+1))
+		}
+		for _, line := range test.step("round") {
+			if strings.HasPrefix(line, "launch ") {
+				launched = append(launched, line)
+			}
+		}
+		if !test.now.Before(end) {
+			return launched
+		}
+	}
+}
+
+// cordoned lists the machines that get no work.
+func (test *cordonTest) cordoned() (machines []string) {
+	for _, m := range test.leader.fleet.Machines() {
+		if m.Cordoned {
+			machines = append(machines, m.ID)
+		}
+	}
+	return machines
+}
+
+// starvationBound is the time for which the users allow a job to wait beside a machine that has room for it.
+const starvationBound = 90 * time.Second
+
+// TestMistakenJobsCordonNoMachineForever guards against a sound job that waits as long as the leader leads, because jobs
+// that were submitted with a mistake have failed on every machine.
+func TestMistakenJobsCordonNoMachineForever(t *testing.T) {
+	for _, machines := range []int{1, 2, 3, 5} {
+		for _, fate := range []string{"cancelled", "kept"} {
+			t.Run(fmt.Sprintf("%d machines, %s", machines, fate), func(t *testing.T) {
+				test := newCordonTest(t, machines)
+				mistaken := []string{"wk-1", "wk-2"}
+				for _, job := range mistaken {
+					test.step("job " + job + " sweep team=blue tasks=1 gpus=4") // fits nowhere beside the replicas: its failures are played
+				}
+				test.pass(time.Second)
+				for _, job := range mistaken {
+					test.fail(job, test.machines...)
+				}
+				if fate == "cancelled" {
+					for _, job := range mistaken {
+						test.step("cancel " + job)
+					}
+				}
+				test.step("job wk-3 sweep team=blue tasks=1")
+				if launched := test.pass(starvationBound); len(launched) == 0 {
+					t.Errorf("the sound job is not launched within %v; %v of %d machines are cordoned", starvationBound, test.cordoned(), machines)
+				}
+			})
+		}
+	}
+}
+
+// TestFaultyMachineIsCordoned guards against work for a machine on which different jobs fail: it is cordoned, and each
+// later failure renews the cordon, until a task is done there.
+func TestFaultyMachineIsCordoned(t *testing.T) {
+	test := newCordonTest(t, 3)
+	for _, job := range []string{"wk-1", "wk-2", "wk-3"} {
+		test.step("job " + job + " sweep team=blue tasks=1 gpus=4")
+	}
+	test.pass(0)
+	expect := func(when string, want ...string) {
+		t.Helper()
+		if got := test.cordoned(); !slices.Equal(got, want) {
+			t.Errorf("%s: %v are cordoned, not %v", when, got, want)
+		}
+	}
+	test.fail("wk-1", "n-1")
+	expect("one job has failed")
+	test.fail("wk-1", "n-1")
+	expect("the same job has failed twice")
+	test.fail("wk-2", "n-1")
+	expect("two jobs have failed", "n-1")
+	test.step("job wk-4 sweep team=blue tasks=9")
+	for _, line := range test.pass(cordonDuration / 2) {
+		if strings.HasSuffix(line, " on n-1") {
+			t.Errorf("a cordoned machine gets work: %s", line)
+		}
+	}
+	test.pass(cordonDuration/2 + time.Second)
+	expect("the cordon has lapsed")
+	test.fail("wk-3", "n-1")
+	expect("a third job has failed", "n-1")
+	test.pass(cordonDuration + time.Second)
+	test.leader.handleTaskEnd(test.now, &fleet.Placement{Task: wire.TaskID{Job: "wk-1"}, Machine: "n-1", State: fleet.Ended, Cause: wire.CauseDone})
+	test.fail("wk-3", "n-1")
+	expect("a job has failed after another was done")
+}
+
+// TestJobThatFailsEverywhereCordonsNothing guards against cordons of sound machines: a job that has failed on three
+// machines does not count against any of them, until one of its tasks is done.
+func TestJobThatFailsEverywhereCordonsNothing(t *testing.T) {
+	test := newCordonTest(t, 5)
+	for _, job := range []string{"wk-1", "wk-2"} {
+		test.step("job " + job + " sweep team=blue tasks=1 gpus=4")
+		test.pass(0)
+		test.fail(job, "n-1", "n-2", "n-3")
+	}
+	if test.pass(0); len(test.cordoned()) > 0 {
+		t.Errorf("%v are cordoned though both jobs fail everywhere", test.cordoned())
+	}
+	test.leader.jobState("wk-1").lastSuccess = test.now
+	test.leader.jobState("wk-2").lastSuccess = test.now
+	if test.pass(0); len(test.cordoned()) != 3 {
+		t.Errorf("%v are cordoned after both jobs have succeeded elsewhere", test.cordoned())
+	}
+}
--- a/internal/leader/events.go
+++ b/internal/leader/events.go
@@ -32,14 +32,9 @@
 	}
 }
 
-const (
-	// cordonAfterJobs is how many different jobs must fail on a machine before it is cordoned: with a single
-	// one, the job itself may be at fault.
-	cordonAfterJobs = 2
-	// refusedLaunchDelay is how long a job waits after a machine has refused to launch it: about the time until
-	// a heartbeat shows what else is on the machine.
-	refusedLaunchDelay = time.Second
-)
+// refusedLaunchDelay is how long a job waits after a machine has refused to launch it: about the time until
+// a heartbeat shows what else is on the machine.
+const refusedLaunchDelay = time.Second
 
 // handleTaskEnd handles the end of a task that has not been handled yet.
 func (l *Leader) handleTaskEnd(now time.Time, p *fleet.Placement) {
@@ -47,6 +42,7 @@
 	l.log.Debug("task ended", "task", p.Task, "attempt", p.Attempt, "machine", p.Machine, "cause", p.Cause, "saved", p.Saved)
 	if p.Cause == wire.CauseDone {
 		clear(m.JobFailures)
+		j.lastSuccess = now
 		l.markFinished(p.Task, j)
 		return
 	}
@@ -56,12 +52,11 @@
 		// The failure may be due to the machine or to the job: a machine on which different jobs fail is
 		// cordoned, and a job that fails on several machines is delayed.
 		l.log.Info("task failed", "task", p.Task, "machine", p.Machine)
-		m.JobFailures[p.Task.Job]++
-		j.recordFailure(now, p.Machine)
-		if len(m.JobFailures) >= cordonAfterJobs && m.DrainReason == "" {
-			m.DrainReason = "different jobs fail on it"
-			l.log.Warn("machine cordoned", "machine", m.ID, "reason", m.DrainReason)
+		if l.liveJobs[p.Task.Job] != nil {
+			m.JobFailures[p.Task.Job] = now
 		}
+		j.recordFailure(now, p.Machine)
+		l.reviewCordon(now, m)
 	case wire.CauseGangTimeout:
 		j.timedOutAttempt = p.Attempt
 	case wire.CauseNoCapacity, wire.CauseBusy, wire.CauseUnknown:
--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -10,7 +10,8 @@
 
 // jobState is what the leader remembers about a job besides its placements.
 type jobState struct {
-	failedMachines  map[string]bool       // machines on which the job failed
+	failures        map[string]time.Time  // when the job last failed on each machine
+	lastSuccess     time.Time             // when a task of the job was last reported as done
 	notBefore       time.Time             // earliest time of the next placement
 	finished        *store.TaskSet        // tasks that were reported as finished
 	storedFinished  *store.TaskSet        // those of them that are stored as finished
@@ -36,12 +37,31 @@
 
 // recordFailure records that the job failed on a machine. Each additional machine doubles the delay.
 func (j *jobState) recordFailure(now time.Time, machine string) {
-	j.failedMachines[machine] = true
-	if n := len(j.failedMachines); n >= delayAfterMachines {
+	j.failures[machine] = now
+	if n := len(j.failures); n >= delayAfterMachines {
 		j.notBefore = now.Add(min(maxJobBackoff, time.Second<<min(n, maxJobBackoffShift)))
 	}
 }
 
+// machinesWithFailures returns the machines on which the job failed.
+func (j *jobState) machinesWithFailures() map[string]bool {
+	out := make(map[string]bool, len(j.failures))
+	for machine := range j.failures {
+		out[machine] = true
+	}
+	return out
+}
+
+// failuresSinceSuccess returns on how many machines the job has failed lately, since one of its tasks was last done.
+func (j *jobState) failuresSinceSuccess(now time.Time) (machines int) {
+	for _, failedAt := range j.failures {
+		if failedAt.After(j.lastSuccess) && now.Sub(failedAt) < failureRetention {
+			machines++
+		}
+	}
+	return machines
+}
+
 // JobIndex answers questions about all jobs, including those that have ended.
 type JobIndex interface {
 	// Job returns the record of a job, if it is known.
@@ -107,7 +127,7 @@
 func (t *jobTable) jobState(job string) *jobState {
 	j := t.jobStates[job]
 	if j == nil {
-		j = &jobState{failedMachines: map[string]bool{}, finished: store.NewTaskSet(0), storedFinished: store.NewTaskSet(0)}
+		j = &jobState{failures: map[string]time.Time{}, finished: store.NewTaskSet(0), storedFinished: store.NewTaskSet(0)}
 		t.jobStates[job] = j
 	}
 	return j
--- a/internal/leader/preemption.go
+++ b/internal/leader/preemption.go
@@ -46,7 +46,7 @@
 // is being rebuilt, since the machine may not have sent a heartbeat to this leader yet.
 func (l *Leader) machineUsable(now time.Time, id string, rebuilding bool) bool {
 	m := l.fleet.Machine(id)
-	return m != nil && m.DrainReason == "" && !m.Releasing && m.TerminationTime.IsZero() && (rebuilding || l.monitor.HeartbeatAge(now, m) < l.timeouts.unreachableAfter)
+	return m != nil && !m.Cordoned && !m.Releasing && m.TerminationTime.IsZero() && (rebuilding || l.monitor.HeartbeatAge(now, m) < l.timeouts.unreachableAfter)
 }
 
 // victimPresent reports whether an attempt may still be on a machine. A later attempt of the same task is ignored: a
--- a/internal/leader/reachability.go
+++ b/internal/leader/reachability.go
@@ -25,7 +25,7 @@
 	for _, m := range l.fleet.Machines() {
 		busy := slices.ContainsFunc(m.Placements(), func(p *fleet.Placement) bool { return p.Active() && p.State != fleet.Planned })
 		switch {
-		case m.Up && !busy && (m.DrainReason != "" || !m.TerminationTime.IsZero()):
+		case m.Up && !busy && (m.Cordoned || !m.TerminationTime.IsZero()):
 			l.releaseMachine(m, "drained")
 		case l.bootTimedOut(now, m):
 			l.releaseMachine(m, "did not boot")
--- a/internal/leader/reconcile.go
+++ b/internal/leader/reconcile.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"amberdeal.example/amberdeal/internal/fleet"
+	"amberdeal.example/amberdeal/wire"
 )
 
 // Reconciliation compares the placements with the live jobs. Placements of jobs that have ended are stopped or
@@ -20,6 +21,7 @@
 // reconcilePlacements reconciles all placements with the live jobs.
 func (l *Leader) reconcilePlacements(now time.Time) {
 	for _, m := range l.fleet.Machines() {
+		l.reviewCordon(now, m)
 		if !l.acceptsLaunches(now, m) {
 			l.withdrawPlanned(m)
 		}
@@ -34,7 +36,7 @@
 
 // acceptsLaunches reports whether planned placements on a machine may still be launched there.
 func (l *Leader) acceptsLaunches(now time.Time, m *fleet.Machine) bool {
-	leaving := m.DrainReason != "" || !m.TerminationTime.IsZero() || m.Releasing
+	leaving := m.Cordoned || !m.TerminationTime.IsZero() || m.Releasing
 	return !leaving && now.Sub(m.LastHeartbeat) <= l.timeouts.launchWithin && l.fleet.ReceivesCommands(now, m)
 }
 
@@ -127,6 +129,9 @@
 	if at := time.UnixMilli(rec.Ended); ok && rec.Ended > 0 && at.Before(now) {
 		j.endedAt = at // when a controller confirmed the end to the user
 	}
+	if rec.Stage == wire.Cancelled {
+		l.discardFailures(id)
+	}
 	l.ledger.DiscardJob(id, rec.Tasks)
 	l.unstoredCompletions.Remove(id)
 	l.assignment.Forget(id)
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -176,8 +176,8 @@
 	state := l.jobStates[id]
 	ranges, remoteTasks := l.unfinishedOwnRanges(live)
 	j.RemoteTasks, j.LocalTasks = remoteTasks, handover.CountTasks(ranges)
-	if state != nil && len(state.failedMachines) < delayAfterMachines { // else the job fails everywhere: it may use any machine, after a delay
-		j.AvoidMachines = state.failedMachines
+	if state != nil && len(state.failures) < delayAfterMachines { // else the job fails everywhere: it may use any machine, after a delay
+		j.AvoidMachines = state.machinesWithFailures()
 	}
 	if rebuilding && live.SinceRevision <= l.lease.Revision {
 		// Capacity that a gang had reserved must not be used by jobs that are submitted now.
@@ -216,7 +216,7 @@
 func (l *Leader) snapshotMachine(now time.Time, m *fleet.Machine, jobs map[string]*scheduler.Job, teams map[string]*scheduler.Team) *scheduler.Machine {
 	t := l.machineType(m.Type)
 	s := &scheduler.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: capacityOf(t)}
-	acceptsTasks := m.DrainReason == "" && !m.Releasing && m.TerminationTime.IsZero()
+	acceptsTasks := !m.Cordoned && !m.Releasing && m.TerminationTime.IsZero()
 	fresh := m.Up && now.Sub(m.LastHeartbeat) < l.timeouts.launchWithin
 	acceptsTasks = acceptsTasks && l.fleet.ReceivesCommands(now, m) && !m.HeartbeatsLost(now, l.timeouts.missingHeartbeatAfter)
 	s.Usable = acceptsTasks && fresh && m.SeenAtToken
