An unanswered call no longer counts once its tasks have ended

Cause: launches of a call without an answer counted as attempts that may be on the machine as long as its incarnation lasted, also once the worker listed them as ended, and launching refuses a machine more than 46 of them. Evidence: the leader's log says "nothing is launched although jobs wait and capacity is free", cause "machines name too many tasks", for 31, 61 and 91 s.

While a worker lists an attempt, a late launch of it has no effect, and a clear by a later leader carries a token that refuses it. So what counts is what the machine's record names: the attempts that may hold resources. An ended attempt with a pending call is a tombstone: its job may be compacted (it could not before, as long as the incarnation lasted), and it is cleared 20 minutes after its end (never before); TCP gives up after about 15.

--- a/internal/fleet/commands.go
+++ b/internal/fleet/commands.go
@@ -24,8 +24,8 @@
 	launch = launch && m.launchable() && hb.Seq > m.launchSeq && hb.FencingToken == f.FencingToken && f.ReceivesCommands(now, m)
 	for _, p := range m.Placements() {
 		switch {
-		case p.IsTombstone() && p.mayBeDuplicated(now):
-		case p.State == Ended && p.EndHandled && !p.callPending:
+		case p.IsTombstone() && p.mayBeLaunchedAgain(now):
+		case p.State == Ended && p.EndHandled:
 			cmds = append(cmds, p.command(wire.Clear))
 		case p.Stop != nil && p.Reported && p.Active():
 			cmds = append(cmds, p.stopCommand())
--- a/internal/fleet/machine.go
+++ b/internal/fleet/machine.go
@@ -90,22 +90,26 @@
 	return nil
 }
 
-// PossibleAttempts returns, by task, the newest attempt that is or may still appear on the machine.
-func (m *Machine) PossibleAttempts() map[string]uint64 {
+// ActiveAttempts returns, by task, the newest attempt that may hold resources of the machine. An attempt that
+// has ended is not among them, even if a call with its launch is still pending: a late launch has no effect
+// while the worker lists the attempt, and once a command with a later fencing token has cleared the attempt,
+// the launch is refused.
+func (m *Machine) ActiveAttempts() map[string]uint64 {
 	out := make(map[string]uint64)
 	for _, p := range m.placements {
-		if p.mayBePresent() {
-			task := p.Task.String()
-			out[task] = max(out[task], p.Attempt)
+		if !p.Active() {
+			continue
 		}
+		task := p.Task.String()
+		out[task] = max(out[task], p.Attempt)
 	}
 	return out
 }
 
-// CountPossible counts the attempts that are or may still appear on the machine.
-func (m *Machine) CountPossible() (n int) {
+// CountActive counts the attempts that may hold resources of the machine.
+func (m *Machine) CountActive() (n int) {
 	for _, p := range m.placements {
-		if p.mayBePresent() {
+		if p.Active() {
 			n++
 		}
 	}
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -40,7 +40,8 @@
 	// response was lost. A refused direct call for the same launch then proves nothing.
 	sentInResponse bool
 	// callPending is set while a direct call that carried the launch is unanswered. The call may be
-	// executed as long as the incarnation lasts, so the attempt is neither withdrawn nor cleared.
+	// executed as long as the incarnation lasts, so the attempt is not withdrawn, and it is cleared only
+	// lateCallWindow after its end.
 	callPending bool
 	// sentByCall is set if the launch was sent by a direct call, of which a duplicate may still
 	// arrive. It is also set if the worker listed the attempt although this leader did not launch it.
@@ -72,9 +73,6 @@
 // CallPending reports whether an unanswered direct call may still launch the placement.
 func (p *Placement) CallPending() bool { return p.callPending }
 
-// mayBePresent reports whether the attempt is or may still appear on its machine.
-func (p *Placement) mayBePresent() bool { return p.Active() || p.callPending }
-
 const (
 	// duplicateCallWindow is how long after the end of an attempt a duplicate of the answered call that
 	// launched it may still arrive. The protocol sets no bound on late messages ("minutes late")
@@ -83,24 +81,29 @@
 	// smallest exception to that rule: the list must not grow forever, but a duplicate that arrives even
 	// later still starts its attempt again (docs/design.md).
 	duplicateCallWindow = 3 * time.Minute
+	// lateCallWindow is how long after the end of an attempt the unanswered call that launched it may still be
+	// executed. The protocol lets messages be minutes late; TCP gives up after about 15 minutes.
+	lateCallWindow = 20 * time.Minute
 	// maxTombstones limits how many attempts that were launched by direct calls a machine's list may
 	// hold, since each of its heartbeats carries the list. Once the limit is reached, launches are sent
 	// only in responses to heartbeats, which are never executed late.
 	maxTombstones = 100
 )
 
-// mayBeDuplicated reports whether a late duplicate of the call that launched an ended attempt may still
-// arrive. Once the attempt is cleared, such a duplicate would start it again: next to the task's next
+// mayBeLaunchedAgain reports whether the call that launched an ended attempt, or a late duplicate of it, may
+// still arrive. Once the attempt is cleared, such a call would start it again: next to the task's next
 // attempt or, if the task is done, briefly at the expense of its team, its cancelled job and its
-// machine. As long as the worker lists the attempt, a duplicate has no effect.
-func (p *Placement) mayBeDuplicated(now time.Time) bool {
+// machine. As long as the worker lists the attempt, the call has no effect.
+func (p *Placement) mayBeLaunchedAgain(now time.Time) bool {
+	if p.callPending {
+		return now.Sub(p.endedAt) < lateCallWindow
+	}
 	return now.Sub(p.endedAt) < duplicateCallWindow
 }
 
-// IsTombstone reports whether an attempt is kept only so that late duplicates of its launch have no
-// effect.
+// IsTombstone reports whether an attempt is kept only so that late copies of its launch have no effect.
 func (p *Placement) IsTombstone() bool {
-	return p.State == Ended && p.EndHandled && p.sentByCall && !p.callPending
+	return p.State == Ended && p.EndHandled && p.sentByCall
 }
 
 func (p *Placement) command(verb wire.Verb) wire.Command {
--- a/internal/leader/launch.go
+++ b/internal/leader/launch.go
@@ -60,9 +60,9 @@
 		m := l.fleet.Machine(launch.Machine)
 		if !d.machines[launch.Machine] && !g.machines[launch.Machine] {
 			g.machines[launch.Machine] = true
-			g.bytes += store.MachineEntryBytes(m.ID, &store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone}) + m.CountPossible()*store.MachineTaskBytes
+			g.bytes += store.MachineEntryBytes(m.ID, &store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone}) + m.CountActive()*store.MachineTaskBytes
 		}
-		g.full = g.full || m.CountPossible()+n > maxTasks
+		g.full = g.full || m.CountActive()+n > maxTasks
 	}
 	return g
 }
--- a/internal/leader/records.go
+++ b/internal/leader/records.go
@@ -75,17 +75,9 @@
 	}
 }
 
-// machineRecord returns the record of a machine. It leaves out attempts that are known to have ended there, even if a
-// call with the launch is still pending: a delayed copy of the launch has no effect until a command with a later
-// fencing token clears the task, and is refused from then on.
+// machineRecord returns the record of a machine.
 func machineRecord(m *fleet.Machine) store.MachineRecord {
-	tasks := m.PossibleAttempts()
-	for _, p := range m.Placements() {
-		if name := p.Task.String(); !p.Active() && tasks[name] == p.Attempt {
-			delete(tasks, name)
-		}
-	}
-	return store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Incarnation: m.Incarnation, Tasks: tasks}
+	return store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Incarnation: m.Incarnation, Tasks: m.ActiveAttempts()}
 }
 
 // machineEntry returns the ledger entry of a machine, and records in the round which tasks it names.
