The scheduler counts the tasks that a machine's record may name

Cause: a machine may have as many tasks as its record may name (46 at values of 8 KiB), and only launching knew it. The scheduler placed the tasks on the full machine in each round, so that none went elsewhere and none was rented. A gang was measured as a whole against each of its machines.

The number of tasks is now one of the resources that tasks need and machines have, so that every place that counts capacity counts it; launching checks the same number, for a gang by machine.

TestTasksBeyondMachineRecordGoElsewhere failed before in all 6 cases (46, 0 and 46 of 60 tasks of an array, a gang and a service are launched on two machines; none is rented beside one).

--- a/internal/admission/feasibility.go
+++ b/internal/admission/feasibility.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -45,13 +46,7 @@
 	if j.Shape != wire.Array {
 		concurrentTasks = float64(j.Tasks)
 	}
-	limit := scheduler.Resources{CPUs: math.Inf(1), GPUs: math.Inf(1), MemoryGB: math.Inf(1)}
-	if team.CPUsMax > 0 {
-		limit.CPUs = team.CPUsMax
-	}
-	if team.GPUsMax > 0 {
-		limit.GPUs = team.GPUsMax
-	}
+	limit := scheduler.CapacityOf(&wire.MachineType{CPUs: cmp.Or(team.CPUsMax, math.Inf(1)), GPUs: cmp.Or(team.GPUsMax, math.Inf(1)), MemoryGB: math.Inf(1)}, 0)
 	return !limit.Fits(scheduler.Resources{}.AddScaled(scheduler.ResourcesOf(j), concurrentTasks))
 }
 
@@ -59,8 +54,7 @@
 func feasibleZones(j *wire.Job, types []wire.MachineType) map[string]bool {
 	zones := make(map[string]bool)
 	for _, t := range types {
-		size := scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
-		if !size.Fits(scheduler.ResourcesOf(j)) || len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
+		if !scheduler.CapacityOf(&t, 0).Fits(scheduler.ResourcesOf(j)) || len(j.Types) > 0 && !slices.Contains(j.Types, t.Name) {
 			continue
 		}
 		for _, zone := range t.Zones {
--- a/internal/leader/launch.go
+++ b/internal/leader/launch.go
@@ -51,18 +51,28 @@
 	return withheld
 }
 
+// recordShare is the share of a ledger segment that the record of one machine may take, so that the records of several
+// machines fill segments well.
+const recordShare = 4
+
+// maxTasksPerMachine returns how many tasks may be on one machine: as many as its record may name. The scheduler plans by
+// the same number.
+func (l *Leader) maxTasksPerMachine() int {
+	return max(1, l.cfg.Store.ValueBytes/recordShare/store.MachineTaskBytes)
+}
+
 // measureGroup returns a group of launches with the capacity of the round that it takes.
 func (l *Leader) measureGroup(d *Draft, launches []scheduler.Launch) launchGroup {
-	maxTasks := max(1, l.cfg.Store.ValueBytes/4/store.MachineTaskBytes) // per machine, so that records fit segments well
-	n := len(launches)
-	g := launchGroup{launches: launches, bytes: n * store.MachineTaskBytes, machines: make(map[string]bool)}
+	g := launchGroup{launches: launches, bytes: len(launches) * store.MachineTaskBytes, machines: make(map[string]bool)}
+	tasksByMachine := make(map[string]int)
 	for _, launch := range launches {
 		m := l.fleet.Machine(launch.Machine)
 		if !d.machines[launch.Machine] && !g.machines[launch.Machine] {
 			g.machines[launch.Machine] = true
 			g.bytes += store.MachineEntryBytes(m.ID, &store.MachineRecord{Addr: m.Addr, Type: m.Type, Zone: m.Zone}) + m.CountActive()*store.MachineTaskBytes
 		}
-		g.full = g.full || m.CountActive()+n > maxTasks
+		tasksByMachine[m.ID]++
+		g.full = g.full || m.CountActive()+tasksByMachine[m.ID] > l.maxTasksPerMachine()
 	}
 	return g
 }
--- a/internal/leader/launch_bound_test.go
+++ b/internal/leader/launch_bound_test.go
@@ -107,3 +107,33 @@
 		t.Errorf("the task is still listed %v after its end", lateCallWindow+time.Minute)
 	}
 }
+
+// TestTasksBeyondMachineRecordGoElsewhere guards against tasks that wait for as long as the leader leads, because the
+// scheduler places them on a machine whose record may name no more tasks, and launching refuses them in each round.
+func TestTasksBeyondMachineRecordGoElsewhere(t *testing.T) {
+	for _, shape := range []string{"sweep", "gang", "service"} {
+		t.Run(shape+" on two machines", func(t *testing.T) {
+			driver := newTinyTasksTest(t)
+			driver.step("job wk-1 " + shape + " team=blue tasks=60 gpus=0")
+			driver.step("report n-1 1/1 term=2")
+			driver.step("report n-2 1/1 term=2")
+			if n := driver.countLaunches(); n != 60 {
+				t.Errorf("%d of 60 tasks are launched", n)
+			}
+			for _, m := range driver.leader.fleet.Machines() {
+				if n, most := m.CountActive(), driver.leader.maxTasksPerMachine(); n > most {
+					t.Errorf("%s gets %d tasks, and its record may name %d", m.ID, n, most)
+				}
+			}
+		})
+		t.Run(shape+" on one machine", func(t *testing.T) {
+			driver := newTinyTasksTest(t)
+			driver.step("job wk-1 " + shape + " team=blue tasks=60 gpus=0")
+			driver.step("report n-1 1/1 term=2")
+			driver.step("round")
+			if len(driver.leader.scaler.Pending()) == 0 {
+				t.Error("no machine is requested for the tasks that the record of the only machine may not name")
+			}
+		})
+	}
+}
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -15,14 +15,15 @@
 // clusterSnapshot builds the snapshot of the cluster that the scheduler plans on.
 func (l *Leader) clusterSnapshot(now time.Time) *scheduler.Snapshot {
 	snapshot := &scheduler.Snapshot{
-		Types:        l.shardMachineTypes(),
-		Teams:        l.snapshotTeams(now),
-		Unavailable:  map[scheduler.Offer]bool{},
-		Doubtful:     map[scheduler.Offer]bool{},
-		RequestLimit: map[scheduler.Offer]int{},
-		IdleTimeout:  l.cfg.Tuning.IdleTimeout,
-		MaxGangWait:  l.cfg.Tuning.MaxGangWait,
-		Sharded:      !l.sharding.IsSingle(),
+		Types:              l.shardMachineTypes(),
+		Teams:              l.snapshotTeams(now),
+		Unavailable:        map[scheduler.Offer]bool{},
+		Doubtful:           map[scheduler.Offer]bool{},
+		RequestLimit:       map[scheduler.Offer]int{},
+		IdleTimeout:        l.cfg.Tuning.IdleTimeout,
+		MaxTasksPerMachine: l.maxTasksPerMachine(),
+		MaxGangWait:        l.cfg.Tuning.MaxGangWait,
+		Sharded:            !l.sharding.IsSingle(),
 	}
 	if snapshot.Sharded {
 		snapshot.RemoteCapacity = l.freeElsewhere(now)
@@ -88,7 +89,7 @@
 		}
 		for range request.Count {
 			snapshot.Machines = append(snapshot.Machines, &scheduler.Machine{Type: request.Type, Zone: request.Zone, Spot: request.Spot,
-				Booting: true, Free: capacityOf(l.machineType(request.Type))})
+				Booting: true, Free: l.capacityOf(l.machineType(request.Type))})
 		}
 	}
 }
@@ -148,8 +149,8 @@
 }
 
 // capacityOf returns the total resources of a machine of a type.
-func capacityOf(t wire.MachineType) scheduler.Resources {
-	return scheduler.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
+func (l *Leader) capacityOf(t wire.MachineType) scheduler.Resources {
+	return scheduler.CapacityOf(&t, l.maxTasksPerMachine())
 }
 
 // maxRebuildWait bounds how long a new leader waits for a heartbeat of every machine before it places tasks that may
@@ -215,7 +216,7 @@
 // these tasks to the usage of their teams.
 func (l *Leader) snapshotMachine(now time.Time, m *fleet.Machine, jobs map[string]*scheduler.Job, teams map[string]*scheduler.Team) *scheduler.Machine {
 	t := l.machineType(m.Type)
-	s := &scheduler.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: capacityOf(t)}
+	s := &scheduler.Machine{ID: m.ID, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Free: l.capacityOf(t)}
 	acceptsTasks := !m.Cordoned && !m.Releasing && m.TerminationTime.IsZero()
 	fresh := m.Up && now.Sub(m.LastHeartbeat) < l.timeouts.launchWithin
 	acceptsTasks = acceptsTasks && l.fleet.ReceivesCommands(now, m) && !m.HeartbeatsLost(now, l.timeouts.missingHeartbeatAfter)
@@ -235,7 +236,7 @@
 			continue
 		}
 		// A task of a job that has ended counts until it is gone.
-		s.Free = s.Free.AddScaled(scheduler.Resources{CPUs: demand.CPUs, GPUs: demand.GPUs, MemoryGB: demand.MemoryGB}, -1)
+		s.Free = s.Free.AddScaled(scheduler.TaskResources(demand.CPUs, demand.GPUs, demand.MemoryGB), -1)
 		if team := teams[demand.Team]; team != nil {
 			team.UsedCPUs += demand.CPUs
 			team.UsedGPUs += demand.GPUs
--- a/internal/leader/zonerecovery.go
+++ b/internal/leader/zonerecovery.go
@@ -191,7 +191,7 @@
 func (l *Leader) canScaleOutFor(now time.Time, j *wire.Job) bool {
 	for _, t := range l.shardMachineTypes() {
 		for _, zone := range t.Zones {
-			if !l.zones.Record(zone).AcceptsScaleOut(now) || !capacityOf(t).Fits(scheduler.ResourcesOf(j)) {
+			if !l.zones.Record(zone).AcceptsScaleOut(now) || !l.capacityOf(t).Fits(scheduler.ResourcesOf(j)) {
 				continue
 			}
 			for _, spot := range []bool{true, false} {
--- a/internal/leader/zones.go
+++ b/internal/leader/zones.go
@@ -218,7 +218,7 @@
 // fittingMachineType returns the first machine type in a zone that fits a task of a job.
 func (l *Leader) fittingMachineType(name string, j *scheduler.Job) (typ string, found bool) {
 	for _, t := range l.types {
-		if l.offersType(name, t.Name) && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && capacityOf(t).Fits(scheduler.ResourcesOf(j.Job)) {
+		if l.offersType(name, t.Name) && (len(j.Types) == 0 || slices.Contains(j.Types, t.Name)) && l.capacityOf(t).Fits(scheduler.ResourcesOf(j.Job)) {
 			return t.Name, true
 		}
 	}
--- a/internal/scheduler/planner.go
+++ b/internal/scheduler/planner.go
@@ -57,7 +57,7 @@
 }
 
 func newPlanner(s *Snapshot) *planner {
-	pl := &planner{Snapshot: s, pool: newMachinePool(s.Types), lowestRank: math.MaxInt, searchBudget: maxSearchBudget}
+	pl := &planner{Snapshot: s, pool: newMachinePool(s.Types, s.MaxTasksPerMachine), lowestRank: math.MaxInt, searchBudget: maxSearchBudget}
 	for _, m := range pl.Machines {
 		pl.lowestRank = min(pl.lowestRank, m.countTasks())
 		pl.pool.insert(m)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -10,6 +10,7 @@
 // Offers are numbered, so that data per offer can be kept in slices.
 type machinePool struct {
 	types     map[string]*wire.MachineType
+	maxTasks  int // on one machine; 0 for no limit
 	offers    []Offer
 	usable    []*Machine
 	stopping  []*Machine     // usable machines with stopping tasks
@@ -19,8 +20,8 @@
 	inZone    map[string]int // number of machines by zone, including added ones
 }
 
-func newMachinePool(types []wire.MachineType) machinePool {
-	p := machinePool{types: make(map[string]*wire.MachineType), requested: make(map[Offer]int), inZone: make(map[string]int)}
+func newMachinePool(types []wire.MachineType, maxTasks int) machinePool {
+	p := machinePool{maxTasks: maxTasks, types: make(map[string]*wire.MachineType), requested: make(map[Offer]int), inZone: make(map[string]int)}
 	for i := range types {
 		p.types[types[i].Name] = &types[i]
 	}
@@ -44,7 +45,7 @@
 
 // add creates a machine that the plan would rent, and adds it to the pool.
 func (p *machinePool) add(o Offer, queuePosition int) *Machine {
-	m := &Machine{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Booting: true, Free: capacityOf(p.types[o.Type])}
+	m := &Machine{Type: o.Type, Zone: o.Zone, Spot: o.Spot, Booting: true, Free: CapacityOf(p.types[o.Type], p.maxTasks)}
 	m.offerIndex, m.queuePosition = p.offerIndex(o), queuePosition
 	p.added = append(p.added, m)
 	p.booting[m.offerIndex] = append(p.booting[m.offerIndex], m)
--- a/internal/scheduler/reservation_test.go
+++ b/internal/scheduler/reservation_test.go
@@ -56,7 +56,7 @@
 func (f *overloadedFleet) step(maxGangWait time.Duration) {
 	f.now += time.Second
 	for _, m := range f.machines {
-		m.Usable, m.Free, m.machinePlan = true, Resources{16, 4, 64}, machinePlan{}
+		m.Usable, m.Free, m.machinePlan = true, Resources{16, 4, 64, wire.MaxTasks}, machinePlan{}
 		m.Tasks = slices.DeleteFunc(m.Tasks, func(t Task) bool {
 			if t.Stopping {
 				t.Job.Waiting = append(t.Job.Waiting, t.Index)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -15,7 +15,7 @@
 func (s imageSet) HasImage(image string) bool { return s[image] }
 
 func machine(id, zone string, tasks ...Task) *Machine {
-	m := &Machine{ID: id, Type: "g4", Zone: zone, Usable: true, Free: Resources{16, 4, 64}, Images: imageSet{}}
+	m := &Machine{ID: id, Type: "g4", Zone: zone, Usable: true, Free: Resources{16, 4, 64, wire.MaxTasks}, Images: imageSet{}}
 	for _, t := range tasks {
 		m.Free = m.Free.AddScaled(ResourcesOf(t.Job.Job), -1)
 		m.Tasks = append(m.Tasks, t)
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -30,20 +30,21 @@
 
 // Snapshot is the complete input of a plan.
 type Snapshot struct {
-	Machines     []*Machine
-	Jobs         []*Job
-	Teams        map[string]*Team
-	Types        []wire.MachineType
-	Objectives   []Objective
-	Unavailable  map[Offer]bool // offers in backoff after a refusal by the cloud: none is requested
-	Doubtful     map[Offer]bool // offers that the cloud refused at the latest request
-	RequestLimit map[Offer]int  // for doubtful offers: machines to request now; more are requested elsewhere
-	IdleTimeout  time.Duration  // idle time after which a machine is returned
-	LaunchBudget int            // maximum number of tasks to launch in this round
-	MaxMoves     int            // maximum number of replicas that may be down at once for rebalancing
-	MaxGangWait  time.Duration  // maximum time that even the largest gang should wait; 0 for no limit
-	Tiers        *tier.Set      // nil selects the default order
-	Reclaims     []Reclaim      // capacity that is being reclaimed
+	Machines           []*Machine
+	Jobs               []*Job
+	Teams              map[string]*Team
+	Types              []wire.MachineType
+	Objectives         []Objective
+	Unavailable        map[Offer]bool // offers in backoff after a refusal by the cloud: none is requested
+	Doubtful           map[Offer]bool // offers that the cloud refused at the latest request
+	RequestLimit       map[Offer]int  // for doubtful offers: machines to request now; more are requested elsewhere
+	IdleTimeout        time.Duration  // idle time after which a machine is returned
+	LaunchBudget       int            // maximum number of tasks to launch in this round
+	MaxTasksPerMachine int            // maximum number of tasks on one machine; 0 for no limit
+	MaxMoves           int            // maximum number of replicas that may be down at once for rebalancing
+	MaxGangWait        time.Duration  // maximum time that even the largest gang should wait; 0 for no limit
+	Tiers              *tier.Set      // nil selects the default order
+	Reclaims           []Reclaim      // capacity that is being reclaimed
 
 	Sharded        bool           // the fleet is divided into several shards, of which this is one
 	RemoteCapacity map[string]int // number of tasks for which other shards have free capacity now, by class
--- a/internal/scheduler/starvation_test.go
+++ b/internal/scheduler/starvation_test.go
@@ -122,7 +122,7 @@
 // TestIdleCapacity checks that capacity counts as idle from the time when it was last used, and that
 // times without a record do not count as idle.
 func TestIdleCapacity(t *testing.T) {
-	one, two := Resources{4, 1, 16}, Resources{8, 2, 32}
+	one, two := Resources{4, 1, 16, 1}, Resources{8, 2, 32, 2}
 	var idle IdleCapacity
 	now, firstIdle := time.Unix(0, 0), time.Duration(-1)
 	recordFor := func(d time.Duration, free Resources) Resources {
--- a/internal/scheduler/turnover.go
+++ b/internal/scheduler/turnover.go
@@ -55,6 +55,7 @@
 // false.
 func (t turnover) consume(offer int, need Resources, steps int) (step int, ok bool) {
 	var sum Resources
+	need = need.withoutTaskCount() // a machine may have more tasks than those that are about to end
 	for i := range steps {
 		sum = sum.AddScaled(t[offer][i], 1)
 		if !sum.Fits(need) {
