A machine whose cordon has lapsed gets one task at a time at first

Callers would see work fail in bulk on a faulty machine that can't be released because a replica runs there: cordons end since, so that all free capacity of the machine filled with work every half a minute.

For 15 s after a cordon the scheduler now counts room for one new task on the machine, by the number of tasks that it counts since the last commit. A failure renews the cordon; after 15 s without one the machine takes any work.

--- a/internal/leader/cordon_test.go
+++ b/internal/leader/cordon_test.go
@@ -99,6 +99,52 @@
 	}
 }
 
+// reportOutcomes has each machine report how its tasks have ended: with an error on the first machine, and as done elsewhere.
+func (test *cordonTest) reportOutcomes() {
+	test.heartbeats++
+	for i, machine := range test.machines {
+		report := fmt.Sprintf("report %s 1/%d term=2: wk-100/%d#1.%d running", machine, test.heartbeats, i, i+1)
+		for _, p := range test.leader.fleet.Machine(machine).Placements() {
+			outcome := "ended done"
+			if i == 0 {
+				outcome = "ended error"
+			}
+			if p.Task.Job != "wk-100" && p.State != fleet.Planned {
+				report += fmt.Sprintf(",%v%s %s", p.Task, formatAttempt(p.Attempt), outcome)
+			}
+		}
+		test.step(report)
+	}
+}
+
+// TestFaultyMachineGetsOneTaskAtATime guards against work that fails in large numbers on a faulty machine each time its cordon
+// lapses, because a replica keeps the machine from being released.
+func TestFaultyMachineGetsOneTaskAtATime(t *testing.T) {
+	test := newCordonTest(t, 3)
+	const seconds = 300
+	onFaulty, elsewhere := 0, 0
+	for i := range seconds {
+		test.step(fmt.Sprintf("job wk-%d sweep team=blue tasks=6", 1000+i)) // more than two machines can start at once
+		for _, line := range test.step("round") {
+			switch {
+			case !strings.HasPrefix(line, "launch "):
+			case strings.HasSuffix(line, " on n-1"):
+				onFaulty++
+			default:
+				elsewhere++
+			}
+		}
+		test.step("direct executed")
+		test.now = test.now.Add(time.Second)
+		test.reportOutcomes()
+	}
+	// Until the first cordon, two jobs may fill the machine; after that there is one trial in each cordonDuration.
+	const freeSlots = 3 // on a machine, beside its replica
+	if most := cordonAfterJobs*freeSlots + seconds/int(cordonDuration.Seconds()); onFaulty > most || elsewhere < seconds {
+		t.Errorf("%d tasks are launched on the faulty machine, want at most %d; %d elsewhere", onFaulty, most, elsewhere)
+	}
+}
+
 // TestFaultyMachineIsCordoned guards against work for a machine on which different jobs fail: it is cordoned, and each
 // later failure renews the cordon, until a task is done there.
 func TestFaultyMachineIsCordoned(t *testing.T) {
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -245,6 +245,7 @@
 			l.addTask(now, s, m, t.CacheGB, p, j)
 		}
 	}
+	s.Free = l.limitTrial(now, m, s.Free)
 	s.Images = m
 	if busy {
 		m.IdleSince = now
