A job returns to a machine on which it failed where nothing else fits

Cause: a job avoided each machine on which it had failed for as long as the leader led, until there were three of them. The starvation guard makes up for that only where no task of the job is on any machine.

A job now avoids such a machine strictly for 30 s, after that only if it finds other capacity or a machine can be rented, and not at all after ten minutes. The delay of a job that fails on three machines counts from its last success. The failures of jobs move to a file of their own.

Failed before: TestFailedTaskReturnsToOnlyMachine (service and array: 90 s on no machine) and TestOldFailuresAreForgotten (delayed by 8 s for failures that are ten minutes old). TestAvoidance holds the order: another machine, a rented one, the avoided one.

--- a/internal/leader/jobs.go
+++ b/internal/leader/jobs.go
@@ -24,44 +24,6 @@
 	timedOutAttempt uint64                // gang attempt in which a task timed out waiting for the others
 }
 
-const (
-	// delayAfterMachines is the number of machines on which a job must fail before its next attempt is delayed:
-	// with fewer, the machines may be at fault.
-	delayAfterMachines = 3
-	// maxJobBackoff bounds the delay before the next attempt of a job that fails repeatedly: the job must not
-	// wait long while there are machines on which it may succeed.
-	maxJobBackoff = 45 * time.Second
-	// maxJobBackoffShift bounds the number of doublings to prevent an overflow.
-	maxJobBackoffShift = 7
-)
-
-// recordFailure records that the job failed on a machine. Each additional machine doubles the delay.
-func (j *jobState) recordFailure(now time.Time, machine string) {
-	j.failures[machine] = now
-	if n := len(j.failures); n >= delayAfterMachines {
-		j.notBefore = now.Add(min(maxJobBackoff, time.Second<<min(n, maxJobBackoffShift)))
-	}
-}
-
-// machinesWithFailures returns the machines on which the job failed.
-func (j *jobState) machinesWithFailures() map[string]bool {
-	out := make(map[string]bool, len(j.failures))
-	for machine := range j.failures {
-		out[machine] = true
-	}
-	return out
-}
-
-// failuresSinceSuccess returns on how many machines the job has failed lately, since one of its tasks was last done.
-func (j *jobState) failuresSinceSuccess(now time.Time) (machines int) {
-	for _, failedAt := range j.failures {
-		if failedAt.After(j.lastSuccess) && now.Sub(failedAt) < failureRetention {
-			machines++
-		}
-	}
-	return machines
-}
-
 // JobIndex answers questions about all jobs, including those that have ended.
 type JobIndex interface {
 	// Job returns the record of a job, if it is known.
--- a/internal/leader/snapshot.go
+++ b/internal/leader/snapshot.go
@@ -177,8 +177,8 @@
 	state := l.jobStates[id]
 	ranges, remoteTasks := l.unfinishedOwnRanges(live)
 	j.RemoteTasks, j.LocalTasks = remoteTasks, handover.CountTasks(ranges)
-	if state != nil && len(state.failures) < delayAfterMachines { // else the job fails everywhere: it may use any machine, after a delay
-		j.AvoidMachines = state.machinesWithFailures()
+	if state != nil {
+		j.AvoidMachines = state.avoidances(now)
 	}
 	if rebuilding && live.SinceRevision <= l.lease.Revision {
 		// Capacity that a gang had reserved must not be used by jobs that are submitted now.
--- a/internal/scheduler/future_slots.go
+++ b/internal/scheduler/future_slots.go
@@ -73,7 +73,7 @@
 		}
 	}
 	for _, m := range pl.pool.usable {
-		if allowed[m.offerIndex] && !j.AvoidMachines[m.ID] {
+		if allowed[m.offerIndex] && !j.avoids(m.ID) {
 			slots.addFutureSlots(j, need, m)
 		}
 	}
--- a/internal/scheduler/gang.go
+++ b/internal/scheduler/gang.go
@@ -35,6 +35,10 @@
 		pl.reportUnplaced(j, n, 0)
 	default:
 		picks := pl.reserveForGang(j)
+		if picks == nil && j.allowLastResort() && pl.launchGang(j) {
+			team.consume(totalNeed)
+			return
+		}
 		if picks == nil {
 			pl.reportUnplaced(j, 0, n)
 			return
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -11,16 +11,16 @@
 // Job is an unfinished job in a snapshot.
 type Job struct {
 	*wire.Job
-	Age             time.Duration   // since the job was submitted
-	SubmittedAt     time.Time       // when the job was submitted
-	SubmissionOrder uint64          // position in the order in which all jobs were submitted
-	Waiting         []int           // indices of the tasks that are on no machine and may be placed
-	TasksByZone     map[string]int  // number of its tasks by zone, earlier attempts that have yet to end included
-	ActiveTasks     int             // number of tasks that are on machines
-	StarvedFor      time.Duration   // how long it has had no task on any machine although some could have been placed
-	Terminating     bool            // a gang with tasks that are being stopped and have yet to end
-	AvoidMachines   map[string]bool // IDs of machines on which it failed
-	SpreadRule      *SpreadRule     // services only; may be nil
+	Age             time.Duration  // since the job was submitted
+	SubmittedAt     time.Time      // when the job was submitted
+	SubmissionOrder uint64         // position in the order in which all jobs were submitted
+	Waiting         []int          // indices of the tasks that are on no machine and may be placed
+	TasksByZone     map[string]int // number of its tasks by zone, earlier attempts that have yet to end included
+	ActiveTasks     int            // number of tasks that are on machines
+	StarvedFor      time.Duration  // how long it has had no task on any machine although some could have been placed
+	Terminating     bool           // a gang with tasks that are being stopped and have yet to end
+	AvoidMachines   Avoidances     // machines on which it failed
+	SpreadRule      *SpreadRule    // services only; may be nil
 
 	// The fields below matter if the fleet is divided into several shards.
 
@@ -46,6 +46,7 @@
 	timeLeft      time.Duration // until the job must start to meet its next objective
 	weightedSlack time.Duration // timeLeft, scaled down for classes with few jobs
 
+	lastResort       bool       // the job may use machines that it only prefers to avoid
 	reservationTurn  int        // order among the jobs that must not be passed over, from 1; 0 if it is none of them
 	reservedMachines []*Machine // one for each waiting task, or fewer if the rest can be rented sooner
 }
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -57,7 +57,7 @@
 
 // permitsMachine reports whether one more task may be placed on a machine, regardless of its capacity.
 func (s *search) permitsMachine(m *Machine) bool {
-	return s.permitsOffer(m.offerIndex) && !s.job.AvoidMachines[m.ID] && zoneAllowed(s.job, s.tasksByZone, m.Zone)
+	return s.permitsOffer(m.offerIndex) && !s.job.avoids(m.ID) && zoneAllowed(s.job, s.tasksByZone, m.Zone)
 }
 
 // scan finds the running machines that have capacity for a task.
@@ -65,7 +65,7 @@
 	s.scanned = true
 	s.priceOffers()
 	for _, m := range s.planner.pool.usable {
-		if !s.allowedOffers[m.offerIndex] || s.spotOnly && !m.Spot || !m.Free.Fits(s.need) || s.job.AvoidMachines[m.ID] {
+		if !s.allowedOffers[m.offerIndex] || s.spotOnly && !m.Spot || !m.Free.Fits(s.need) || s.job.avoids(m.ID) {
 			continue
 		}
 		switch {
--- a/internal/scheduler/startable.go
+++ b/internal/scheduler/startable.go
@@ -36,7 +36,7 @@
 	}
 	slots, most := make(map[string]int), 0 // by zone if the job must be in a single zone, else all under the empty key
 	for _, m := range s.Machines {
-		if !m.Usable || j.AvoidMachines[m.ID] || !allowsOffer(j, Offer{m.Type, m.Zone, m.Spot}) || !zoneAllowed(j, j.TasksByZone, m.Zone) {
+		if !m.Usable || j.avoids(m.ID) || !allowsOffer(j, Offer{m.Type, m.Zone, m.Spot}) || !zoneAllowed(j, j.TasksByZone, m.Zone) {
 			continue
 		}
 		zone := ""
--- a/internal/scheduler/starvation_test.go
+++ b/internal/scheduler/starvation_test.go
@@ -46,7 +46,7 @@
 		},
 		"a machine on which the job failed": func() scenario {
 			j, m := starvingJob(wire.Array, 1, 0, 1), machine("n-1", "a")
-			j.AvoidMachines = map[string]bool{"n-1": true}
+			j.AvoidMachines = Avoidances{"n-1": AvoidStrictly}
 			return scenario{j, withoutCapacity(testSnapshot([]*Job{j}, m)), []*Machine{m}}
 		},
 		"a gang that reserves": func() scenario {
--- a/internal/scheduler/tasks.go
+++ b/internal/scheduler/tasks.go
@@ -24,6 +24,7 @@
 	}
 	launching := pl.LaunchBudget > 0
 	coming, unserved := s.reserveFutureCapacity(waiting)
+	unserved = pl.launchAsLastResort(j, waiting[len(waiting)-unserved:])
 	if launching {
 		pl.reportUnplaced(j, coming, unserved)
 	}
