--- a/internal/simtest/script_test.go
+++ b/internal/simtest/script_test.go
@@ -285,6 +285,7 @@
 	lastMachine          map[wire.TaskID]string    // the last machine of each task
 	taskEnds             map[wire.TaskID]time.Time // when each task ends, or has ended
 	starts, stops        map[wire.TaskID]int       // how often each task has started and has stopped
+	startsByMachine      map[string]int            // how many tasks have started on each machine
 	concurrentReadsUntil time.Time                 // users read concurrently before this
 
 	cancelled, polls, startsAtBoot atomic.Int64 // counts of cancelled jobs, concurrent requests, and task starts on just booted machines
@@ -292,7 +293,7 @@
 
 // newTaskObserver returns an observer that reports to a checker.
 func newTaskObserver(c *simulator.Checker) *taskObserver {
-	return &taskObserver{Checker: c, bootedAt: map[string]time.Time{}, lastMachine: map[wire.TaskID]string{}, taskEnds: map[wire.TaskID]time.Time{}, starts: map[wire.TaskID]int{}, stops: map[wire.TaskID]int{}}
+	return &taskObserver{Checker: c, bootedAt: map[string]time.Time{}, lastMachine: map[wire.TaskID]string{}, taskEnds: map[wire.TaskID]time.Time{}, starts: map[wire.TaskID]int{}, stops: map[wire.TaskID]int{}, startsByMachine: map[string]int{}}
 }
 
 // machineBooted is called when a machine starts to boot.
@@ -324,6 +325,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.starts[t]++
+	f.startsByMachine[machine]++
 	f.lastMachine[t], f.taskEnds[t] = machine, time.Now().Add(run)
 	if time.Since(f.bootedAt[machine]) < 4*time.Second { // a machine that has just booted has to fetch the image first
 		f.startsAtBoot.Add(1)
--- a/internal/simtest/simulation_test.go
+++ b/internal/simtest/simulation_test.go
@@ -52,6 +52,7 @@
 	heartbeatReplayer *simulator.HeartbeatReplayer
 	quietSince        time.Time              // when the last fault ended; zero until declareQuiet
 	runtime           *simulator.TaskRuntime // shared by all machines
+	callsOnTime       atomic.Bool            // direct calls to machines are no longer delayed
 }
 
 // node is a simulated controller host, which outlives the incarnations of its process.
@@ -84,7 +85,7 @@
 	callDelay := func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
-		if delayRNG.Float64() >= lossShare {
+		if delayRNG.Float64() >= lossShare || w.callsOnTime.Load() {
 			return 0
 		}
 		return time.Duration(delayRNG.IntN(40000)+1) * time.Millisecond
--- a/internal/simulator/checker.go
+++ b/internal/simulator/checker.go
@@ -25,6 +25,8 @@
 	submitted        map[string]*wire.Job
 	runTimes         map[string]time.Duration
 	taskRunTimes     map[string][]time.Duration        // by job and task index, for jobs whose tasks differ
+	mistakenJobs     map[string]time.Duration          // run time after which all tasks of a job fail
+	faultyMachines   map[string]time.Duration          // run time after which all tasks on a machine fail
 	placements       map[wire.TaskID]map[string]string // zone by machine, of each running task
 	startedAt        map[wire.TaskID]time.Time         // time of the last start
 	finished         map[wire.TaskID]bool
@@ -42,7 +44,7 @@
 // NewChecker returns a checker without observations. cancelWithin is the time within which the tasks
 // of a cancelled job have to stop; gpuLimits holds the GPU limit of each team.
 func NewChecker(cancelWithin time.Duration, gpuLimits map[string]float64) *Checker {
-	return &Checker{CancelWithin: cancelWithin, GPULimits: gpuLimits, submitted: map[string]*wire.Job{}, runTimes: map[string]time.Duration{}, taskRunTimes: map[string][]time.Duration{},
+	return &Checker{CancelWithin: cancelWithin, GPULimits: gpuLimits, submitted: map[string]*wire.Job{}, runTimes: map[string]time.Duration{}, taskRunTimes: map[string][]time.Duration{}, mistakenJobs: map[string]time.Duration{}, faultyMachines: map[string]time.Duration{},
 		placements: map[wire.TaskID]map[string]string{}, finished: map[wire.TaskID]bool{}, lastStage: map[string]wire.Stage{},
 		cancelled: map[string]time.Time{}, usedGPUs: map[string]float64{}, cancelRequested: map[string]bool{},
 		startedAt: map[wire.TaskID]time.Time{}, answerTimes: map[string]*answerTimes{}}
--- a/internal/simulator/checker_tasks.go
+++ b/internal/simulator/checker_tasks.go
@@ -60,6 +60,36 @@
 	return c.taskRunTime(t), true
 }
 
+// SetMistaken has all tasks of a job fail after a run time, on whatever machine, like those of a job that was submitted with a
+// mistake.
+func (c *Checker) SetMistaken(job string, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mistakenJobs[job] = after
+}
+
+// SetFaulty has all tasks on a machine fail after a run time, until it is called with 0.
+func (c *Checker) SetFaulty(machine string, after time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after == 0 {
+		delete(c.faultyMachines, machine)
+		return
+	}
+	c.faultyMachines[machine] = after
+}
+
+// FailsAfter implements FailingFixture.
+func (c *Checker) FailsAfter(t wire.TaskID, machine string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if after, mistaken := c.mistakenJobs[t.Job]; mistaken {
+		return after, true
+	}
+	after, faulty := c.faultyMachines[machine]
+	return after, faulty
+}
+
 // taskRunTime returns the run time of a task.
 func (c *Checker) taskRunTime(t wire.TaskID) time.Duration {
 	if runTimes := c.taskRunTimes[t.Job]; len(runTimes) > 0 {
--- a/internal/simulator/cloud_machines.go
+++ b/internal/simulator/cloud_machines.go
@@ -149,6 +149,16 @@
 	return ""
 }
 
+// IDOfNth returns the ID of the n-th running machine, or "" if none is running; n wraps around.
+func (c *Cloud) IDOfNth(n int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if up := c.running(); len(up) > 0 {
+		return up[n%len(up)].ListedMachine.ID
+	}
+	return ""
+}
+
 // CountRunning returns the number of running machines.
 func (c *Cloud) CountRunning() int {
 	c.mu.Lock()
--- a/internal/simulator/task_runtime.go
+++ b/internal/simulator/task_runtime.go
@@ -24,6 +24,13 @@
 	Describe(job string) (*wire.Job, bool)
 }
 
+// FailingFixture is a Fixture some of whose tasks end with an error.
+type FailingFixture interface {
+	Fixture
+	// FailsAfter returns the run time after which a task fails on a machine; the result is false if it does not fail.
+	FailsAfter(t wire.TaskID, machine string) (time.Duration, bool)
+}
+
 // LookupFixture is a Fixture that has to look up a job elsewhere before Describe knows it. The tasks of the
 // job are reported as fetching until then.
 type LookupFixture interface {
--- a/internal/simulator/tasks.go
+++ b/internal/simulator/tasks.go
@@ -271,6 +271,9 @@
 		return
 	}
 	t.State, t.startedAt = wire.TaskRunning, time.Now()
+	if w.scheduleFailure(key, t) {
+		return
+	}
 	if saved := w.runtime.SavedProgress(t.ID); saved > 0 {
 		t.startedAt = t.startedAt.Add(-saved)
 	}
@@ -282,6 +285,19 @@
 	})
 }
 
+// scheduleFailure schedules the failure of a task that has just started to run, and reports whether the task fails.
+func (w *Worker) scheduleFailure(key string, t *runningTask) bool {
+	fixture, mayFail := w.runtime.Fixture.(FailingFixture)
+	if !mayFail {
+		return false
+	}
+	after, fails := fixture.FailsAfter(t.ID, w.id)
+	if fails {
+		t.schedule(after, func() { w.runIfInState(key, t, wire.TaskRunning, func() { w.endTask(t, wire.CauseError) }) })
+	}
+	return fails
+}
+
 // runIfInState calls a function, after the current pause if there is one, if the task still exists and is in
 // the given state.
 func (w *Worker) runIfInState(key string, t *runningTask, state wire.TaskState, action func()) {
@@ -306,6 +322,7 @@
 	case gangStarted:
 		t.timer.Stop()
 		t.State = wire.TaskRunning
+		w.scheduleFailure(key, t)
 		w.requestHeartbeat()
 	case gangDone:
 		w.runtime.TaskCompleted(t.ID)
