A machine whose termination notice was withdrawn takes work again

Found by reading: a notice took a machine out of use, and a later heartbeat without one changed nothing, so that a machine with a replica would get no work while the leader leads. The users' pages don't say that notices are withdrawn; nobody saw it in use.

The newest heartbeat now tells whether there is a notice. TestWithdrawnTerminationNotice failed before ("the machine is to be taken at ... after its notice was withdrawn").

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -177,3 +177,21 @@
 	m.UseImage(now.Add(3*time.Second), "new", 20, 50, true)
 	check("old", "new")
 }
+
+// TestWithdrawnTerminationNotice guards against a machine that gets no work for as long as the leader leads, because the cloud
+// had once announced to take it.
+func TestWithdrawnTerminationNotice(t *testing.T) {
+	f := newDuplicateCallFixture()
+	notice := 30.0
+	hb := &wire.Heartbeat{Machine: "n-1", Type: "g4", Zone: "a", Incarnation: 1, Seq: 100, FencingToken: 1, TerminationNoticeS: &notice}
+	f.ApplyHeartbeat(f.now, hb, true)
+	if at := f.Machine("n-1").TerminationTime; !at.Equal(f.now.Add(30 * time.Second)) {
+		t.Errorf("the machine is to be taken at %v", at)
+	}
+	withdrawn := *hb
+	withdrawn.Seq, withdrawn.TerminationNoticeS = 101, nil
+	f.ApplyHeartbeat(f.now, &withdrawn, true)
+	if m := f.Machine("n-1"); !m.TerminationTime.IsZero() || !m.launchable() {
+		t.Errorf("the machine is to be taken at %v after its notice was withdrawn", m.TerminationTime)
+	}
+}
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -102,6 +102,7 @@
 	if !m.Up {
 		m.Up, m.UpSince, m.IdleSince = true, now, now
 	}
+	m.TerminationTime = time.Time{} // the newest heartbeat tells whether there is a notice
 	if hb.TerminationNoticeS != nil {
 		m.TerminationTime = now.Add(wire.Seconds(*hb.TerminationNoticeS))
 	}
