Cordons: stop counting machines once there are enough

Whether a job fails on all machines of a small fleet was asked by counting the whole fleet, for each job with failures and each machine; it stops at the first machine more than the job failed on. Behaviour is the same.

--- a/internal/leader/cordon.go
+++ b/internal/leader/cordon.go
@@ -86,17 +86,21 @@
 		return false
 	}
 	failed := j.failuresSinceSuccess(now)
-	return failed >= delayAfterMachines || failed >= minMachinesToBlameJob && failed >= l.countUpMachines()
+	return failed >= delayAfterMachines || failed >= minMachinesToBlameJob && !l.moreMachinesUp(failed)
 }
 
-// countUpMachines counts the machines that are up and not being released.
-func (l *Leader) countUpMachines() (n int) {
+// moreMachinesUp reports whether more than n machines are up and not being released.
+func (l *Leader) moreMachinesUp(n int) bool {
+	up := 0
 	for _, m := range l.fleet.Machines() {
 		if m.Up && !m.Releasing {
-			n++
+			up++
+		}
+		if up > n {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // discardFailures drops the failures of a job that was cancelled from all machines. Users cancel jobs that they have
