A leader gives up its shard when a round is called malformed

Cause: commitRound took every error but a conflict for an unknown outcome. A malformed transaction is refused, and is refused each time. The leader now decides no more rounds and gives up its shard; the next leader starts from the stored state under a new fencing token.

--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -48,6 +48,10 @@
 	}
 	if s != nil {
 		s.Wake()
+		if reason := s.ResignReason(); reason != "" {
+			c.stepDown(s, reason)
+			return
+		}
 		c.resignIfPartitioned(ctx, s)
 		return
 	}
@@ -88,7 +92,7 @@
 		g, leaderCtx := errgroup.WithContext(leaderCtx)
 		g.Go(func() error {
 			return s.Run(leaderCtx, leader.Dependencies{Store: c.state.client, View: c.state.view, Follower: c.state.follow, Cloud: c.cloud, Workers: c.workers,
-				LeaseValid: leaseValid, OnFenced: c.wake})
+				LeaseValid: leaseValid, OnFenced: c.wake, OnResign: c.wake})
 		})
 		if s.compactor != nil {
 			g.Go(func() error { return s.compactor.Run(leaderCtx) })
@@ -97,6 +101,13 @@
 	}()
 }
 
+// stepDown gives up a shard, which this controller or a peer then leads under a new fencing token.
+func (c *Controller) stepDown(s *ledShard, reason string) {
+	c.log.Info("giving up a shard", "shard", s.tenure.Shard, "token", s.tenure.FencingToken, "reason", reason)
+	c.stopLeading(s)
+	c.elector.StepDown(s.tenure.Shard)
+}
+
 // stopLeading stops the leader of a shard and waits until its goroutines have returned.
 func (c *Controller) stopLeading(s *ledShard) {
 	s.stop()
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -16,6 +16,7 @@
 		Started:            c.startedAt,
 		LastLoad:           c.state.follow.LastLoad(),
 		StoreCalls:         c.state.client.CallStatsByPurpose(),
+		MalformedTxns:      c.state.client.MalformedTxns(),
 		BlockCache:         c.state.history.Stats(),
 		UnreadableRecords:  len(view.UnreadableRecords()),
 		Revision:           view.Revision(),
--- a/internal/controller/rebalance.go
+++ b/internal/controller/rebalance.go
@@ -39,7 +39,5 @@
 	if s == nil {
 		return
 	}
-	c.log.Info("giving up a shard", "shard", name, "token", s.tenure.FencingToken, "reason", "a peer leads fewer")
-	c.stopLeading(s)
-	c.elector.StepDown(name)
+	c.stepDown(s, "a peer leads fewer")
 }
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -25,6 +25,8 @@
 	LeaseValid func() bool
 	// OnFenced is called when the state service refuses a round because the shard has another leader.
 	OnFenced func()
+	// OnResign is called when the leader can't go on leading its shard, see Leader.ResignReason.
+	OnResign func()
 }
 
 // Limits on the interval between two rounds. The interval lets heartbeats that arrive close together share
@@ -73,7 +75,7 @@
 		startedAt := time.Now()
 		changed := deps.View.Changed()
 		interval := minInterval
-		if deps.LeaseValid() {
+		if deps.LeaseValid() && l.ResignReason() == "" {
 			d := l.Decide(startedAt, deps.View.Snapshot())
 			interval = min(max(interval, intervalFactor*time.Since(startedAt)), l.maxInterval())
 			if d != nil {
@@ -116,6 +118,10 @@
 		case errors.As(err, &conflict):
 			l.handleConflict(ctx, deps, d, conflict)
 			return
+		case errors.Is(err, store.ErrMalformedTxn):
+			l.resign("the state service calls a round malformed")
+			deps.OnResign()
+			return
 		default:
 			l.log.Info("round without an answer", "number", d.Number, "err", err)
 			l.recordUnwrittenRound(time.Now(), d, stall.CauseUnanswered)
--- a/internal/leader/rounds.go
+++ b/internal/leader/rounds.go
@@ -18,6 +18,7 @@
 	unstoredCompletions commit.CompletionQueue // jobs with finished tasks that are not stored as finished yet
 	machinesToDrop      map[string]bool        // machines whose records have to be deleted
 	typesChanged        bool                   // the machine types have to be stored
+	resignReason        string                 // why the leader can't go on; empty if it can
 }
 
 func newRoundState(lastRound uint64, now time.Time) roundState {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -58,6 +58,8 @@
 
 	Zones map[string]zone.Record // zones that were ever suspected to be unreachable, from the leader's records
 	Tiers map[string]tier.Status // in the shards that this controller leads
+
+	MalformedTxns uint64 // transactions that the state service called malformed
 }
 
 // metric is a metric without labels, with a function that reads its value from a Reading.
@@ -117,6 +119,7 @@
 	newMetric(counter, "reports_unanswered_total", "Forwarded heartbeats that the leader did not answer in time.", func(r *Reading) float64 { return float64(r.HeartbeatsUnanswered) }),
 	newMetric(counter, "machines_moved_total", "Machines that were redirected to a peer with more free connections.", func(r *Reading) float64 { return float64(r.MachinesRedirected) }),
 	newMetric(counter, "requests_forwarded_total", "Submissions and cancellations that were forwarded to the controllers that write them.", func(r *Reading) float64 { return float64(r.RequestsForwarded) }),
+	newMetric(counter, "store_malformed_total", "Transactions that the state service called malformed, each by a fault of this program.", func(r *Reading) float64 { return float64(r.MalformedTxns) }),
 	newMetric(counter, "requests_forward_lost_total", "Forwarded requests whose outcome was not known in time, and that were handled here instead.", func(r *Reading) float64 { return float64(r.ForwardsUnanswered) }),
 	newMetric(gauge, "call_window", "Deferrable calls that may be open at once; it falls while this process is late.", func(r *Reading) float64 { return float64(r.CallWindow) }),
 	newMetric(gauge, "starts_stalled_seconds", "Time for which a leader here has started nothing although there was work and free capacity, 0 for less than 30 s; /status and the log name the cause.", func(r *Reading) float64 { return r.StalledFor.Seconds() }),
--- a/internal/simulator/state_txn.go
+++ b/internal/simulator/state_txn.go
@@ -15,18 +15,21 @@
 // TxnOutcome determines how a transaction is handled.
 type TxnOutcome int
 
-// The fates of transactions. The caller gets an answer only with TxnAnswered.
+// The fates of transactions. The caller gets an answer only with TxnAnswered and TxnMalformed.
 const (
 	TxnAnswered  TxnOutcome = iota // carried out and answered as usual
 	TxnDropped                     // never carried out
 	TxnDelayed                     // carried out one second later
 	TxnReplyLost                   // carried out at once
+	TxnMalformed                   // never carried out, and answered as malformed
 )
 
 // applyFate applies a fate other than TxnAnswered to a transaction. The caller holds the lock, which is
 // released for a moment.
 func (s *StateService) applyFate(t txn, fate TxnOutcome) (int, any) {
 	switch fate {
+	case TxnMalformed:
+		return 400, wire.Failure{Error: "malformed"}
 	case TxnReplyLost:
 		s.commit(t)
 	case TxnDelayed:
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -34,8 +35,12 @@
 	writeRPS       float64       // limit of changes per second, shared by all controllers
 	log            *slog.Logger
 	calls          callCounters
+	malformed      atomic.Uint64 // transactions that the service called malformed
 }
 
+// MalformedTxns returns how many transactions the service called malformed.
+func (c *Client) MalformedTxns() uint64 { return c.malformed.Load() }
+
 // maxResponseBytes limits the size of a response. A page of keys takes half a MiB. A watch
 // response above the limit is reported as ErrCompacted, so that the keys are listed instead.
 const maxResponseBytes = 8 << 20
@@ -157,13 +162,15 @@
 	}
 	c.calls.add(purposeOf(ctx), func(s *CallStats) { s.Changes += uint64(len(t.Then)) })
 	beforeSend()
-	resp, err := c.call(ctx, "POST", wire.PathTxn, wire.Encode(t), callTimeout)
+	body := wire.Encode(t)
+	resp, err := c.call(ctx, "POST", wire.PathTxn, body, callTimeout)
 	if err != nil {
 		return 0, err
 	}
 	revision, err := txnOutcome(resp)
-	if errors.Is(err, errMalformedTxn) {
-		c.log.Error("state service rejected a transaction as malformed", "err", err, "changes", len(t.Then), "conditions", len(t.If))
+	if errors.Is(err, ErrMalformedTxn) {
+		c.malformed.Add(1)
+		c.log.Error("state service rejected a transaction as malformed", "err", err, "bytes", len(body), "changes", len(t.Then), "conditions", len(t.If))
 	}
 	return revision, err
 }
@@ -186,7 +193,7 @@
 		if failure.Error == ErrLeaseNotFound.Error() {
 			return 0, ErrLeaseNotFound
 		}
-		return 0, fmt.Errorf("%w: %w: %s", ErrRefused, errMalformedTxn, failure.Error)
+		return 0, fmt.Errorf("%w: %w: %s", ErrRefused, ErrMalformedTxn, failure.Error)
 	}
 	return 0, unexpectedStatus("commit transaction", resp)
 }
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -20,8 +20,9 @@
 	ErrCompacted = errors.New("revision too old")
 )
 
-// errMalformedTxn marks a refusal caused by a bug in this program; such refusals are logged.
-var errMalformedTxn = errors.New("malformed transaction")
+// ErrMalformedTxn marks a refusal caused by a bug in this program; such refusals are logged. The same transaction is
+// refused again however often it is sent.
+var ErrMalformedTxn = errors.New("malformed transaction")
 
 // ConflictError reports a transaction that was not committed because the versions of the keys
 // in Failed did not meet its conditions.
