A leader gives up its shard before its attempt numbers run out

Callers would see machines whose heartbeats are not answered, or one attempt given twice.

The leader resigns once all but a million numbers are used, and the next one numbers under a new token.

--- a/internal/leader/decide.go
+++ b/internal/leader/decide.go
@@ -40,6 +40,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now, snap)
+	if l.resignBeforeAttemptsRunOut(); l.resignReason != "" {
+		return nil
+	}
 	d := l.newDraft()
 	d.decidedAt = now
 	l.storeFinishedJobs(now, d)
--- a/internal/leader/loop.go
+++ b/internal/leader/loop.go
@@ -81,6 +81,9 @@
 			if d != nil {
 				l.commitRound(ctx, deps, d)
 			}
+			if l.ResignReason() != "" {
+				deps.OnResign()
+			}
 			l.loop.wakeCalls()
 		}
 		store.Backoff(ctx, max(interval-time.Since(startedAt), minPause))
@@ -120,7 +123,6 @@
 			return
 		case errors.Is(err, store.ErrMalformedTxn):
 			l.resign("the state service calls a round malformed")
-			deps.OnResign()
 			return
 		default:
 			l.log.Info("round without an answer", "number", d.Number, "err", err)
--- a/internal/leader/resign.go
+++ b/internal/leader/resign.go
@@ -5,8 +5,14 @@
 func (l *Leader) resign(reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.resignReason == "" {
-		l.resignReason = reason
+	l.resignReason = reason
+}
+
+// resignBeforeAttemptsRunOut resigns once the leader has numbered so many attempts that the numbers under its token are
+// nearly used up.
+func (l *Leader) resignBeforeAttemptsRunOut() {
+	if l.attemptSequence >= attemptsPerToken {
+		l.resignReason = "the attempts under its token are nearly used up"
 	}
 }
 
--- a/internal/leader/rounds.go
+++ b/internal/leader/rounds.go
@@ -29,6 +29,10 @@
 // the bits above, so that the attempts of a later leader are always greater.
 const attemptBits = 24
 
+// attemptsPerToken is the number of attempts after which a leader gives up its shard, so that the next one numbers them under a
+// new token. It leaves room for what the last round decides.
+const attemptsPerToken = 1<<attemptBits - 1<<20
+
 // nextAttempt returns an attempt that no leader has used before.
 func (r *roundState) nextAttempt(token uint64) uint64 {
 	r.attemptSequence++
