A merge into the history stays within a transaction

Compaction would stop for good, and acceptance after 20,000 ended jobs.

Cause: the parts that replace one archive block were planned without the limit, and the first plan of a transaction was never measured. The plan now merges fewer jobs until its parts fit, and such a part is written before the next.

--- a/internal/archive/merge.go
+++ b/internal/archive/merge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"amberdeal.example/amberdeal/internal/jobblock"
 	"amberdeal.example/amberdeal/internal/store"
@@ -119,13 +120,15 @@
 	if unreadable != nil {
 		w.markBlocked(entries[:plan.covered], unreadable)
 	}
+	if plan.partial { // the next entries belong to one of these blocks
+		return plan.covered, w.flush(ctx)
+	}
 	return plan.covered, nil
 }
 
 // fits reports whether blocks can be written in the same transaction as the pending ones.
 func (w *blockWriter) fits(blocks []*Block) bool {
-	return len(w.pending) == 0 ||
-		len(w.pending)+len(blocks) <= w.limits.TxnOps && encodedBytes(w.pending)+encodedBytes(blocks) <= maxTxnBytes
+	return len(w.pending) == 0 || fitsTxn(slices.Concat(w.pending, blocks), w.limits)
 }
 
 // markBlocked records entries that can't be archived because their block can't be read.
--- a/internal/archive/plan.go
+++ b/internal/archive/plan.go
@@ -121,13 +121,14 @@
 // mergePlan describes the blocks that replace one block of the archive.
 type mergePlan struct {
 	blocks      []*Block
-	covered     int      // number of entries that the replaced block covers
+	covered     int      // number of entries that the plan merges
+	partial     bool     // the replaced block covers more entries, which do not fit in the same transaction
 	conflicting []string // ids of jobs whose final stage would change
 }
 
 // planMerge adds the leading entries that block b covers to it, and splits it as the limits
-// require. The entries must be sorted, and b must cover the first of them. If b can't be read, the
-// plan only has the number of covered entries.
+// require. If the parts exceed a transaction, it adds fewer entries. The entries must be sorted, and b must cover the
+// first of them. If b can't be read, the plan only has the number of covered entries.
 func planMerge(b *Block, entries []jobblock.Entry, limits Limits) (mergePlan, error) {
 	var plan mergePlan
 	for plan.covered < len(entries) && b.covers(jobblock.SortKey(entries[plan.covered].ID)) {
@@ -137,9 +138,19 @@
 	if err != nil {
 		return plan, err
 	}
-	all, conflicting := jobblock.Sort(append(old.Entries(), entries[:plan.covered]...))
-	plan.conflicting = conflicting
-	records := jobblock.Split(b.From, all, limits.ValueBytes)
+	for {
+		all, conflicting := jobblock.Sort(append(old.Entries(), entries[:plan.covered]...))
+		plan.blocks, plan.conflicting = b.split(all, limits), conflicting
+		if plan.covered == 1 || fitsTxn(plan.blocks, limits) {
+			return plan, nil
+		}
+		plan.covered, plan.partial = plan.covered/2, true
+	}
+}
+
+// split returns the blocks that replace a block once it holds the given jobs.
+func (b *Block) split(jobs []jobblock.Entry, limits Limits) (parts []*Block) {
+	records := jobblock.Split(b.From, jobs, limits.ValueBytes)
 	for i, r := range records {
 		part := &Block{To: b.To, From: r.From, Record: r}
 		if i+1 < len(records) {
@@ -147,9 +158,14 @@
 		} else {
 			part.Version = b.Version // the last part keeps the block's key
 		}
-		plan.blocks = append(plan.blocks, part)
+		parts = append(parts, part)
 	}
-	return plan, nil
+	return parts
+}
+
+// fitsTxn reports whether blocks can be written in one transaction.
+func fitsTxn(blocks []*Block, limits Limits) bool {
+	return len(blocks) <= limits.TxnOps && encodedBytes(blocks) <= maxTxnBytes
 }
 
 // mergeTxn returns the transaction that puts the blocks, each on the condition that it is
