--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -35,20 +35,21 @@
 
 // Cluster is a running emulated cluster.
 type Cluster struct {
-	Config    *Config
-	opt       Options
-	log       *slog.Logger
-	links     *links
-	state     *simulator.StateService
-	cloud     *simulator.Cloud
-	ctx       context.Context
-	stop      context.CancelFunc
-	startedAt time.Time
-	ports     portLayout
-	rng       *rand.Rand
-	fixture   *taskFixture
-	replayer  *simulator.HeartbeatReplayer
-	users     userFaults
+	Config       *Config
+	opt          Options
+	log          *slog.Logger
+	links        *links
+	state        *simulator.StateService
+	cloud        *simulator.Cloud
+	ctx          context.Context
+	stop         context.CancelFunc
+	startedAt    time.Time
+	ports        portLayout
+	rng          *rand.Rand
+	fixture      *taskFixture
+	replayer     *simulator.HeartbeatReplayer
+	users        userFaults
+	lateCommands lateCommands
 
 	mu           sync.Mutex
 	activeFaults map[int]*StagedFault
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -57,6 +57,8 @@
 	"machine_deaf":    {optional: []string{"count", "share", "zone"}},
 	"machine_mute":    {optional: []string{"count", "share", "zone"}},
 	"report_late":     {[]string{"share"}, []string{"for_next"}},
+	"command_late":    {required: []string{"share"}},
+	"jobs_mistaken":   {required: []string{"share"}},
 	"cancel_now":      {[]string{"count"}, []string{"hang"}},
 	"cancel_at_end":   {required: []string{"share"}},
 	"odd_requests":    {},
--- a/internal/emulator/injection.go
+++ b/internal/emulator/injection.go
@@ -24,6 +24,15 @@
 		return cluster.replayHeartbeats(f), nil
 	case "machine_die", "machine_hang", "machine_deaf", "machine_mute", "machine_restart", "spot_taken":
 		return cluster.applyToMachines(f), nil
+	case "command_late":
+		cluster.lateCommands.setShare(f.Share)
+		return func() { cluster.lateCommands.setShare(0) }, nil
+	case "jobs_mistaken":
+		cluster.users.setMistakenShare(f.Share)
+		return func() {
+			cluster.users.setMistakenShare(0)
+			cluster.users.cancelMistaken()
+		}, nil
 	case "cancel_now", "cancel_at_end", "odd_requests", "close_looks":
 		return cluster.users.apply(cluster, f)
 	case "controller_kill", "controller_hang":
--- a/internal/emulator/machines.go
+++ b/internal/emulator/machines.go
@@ -17,6 +17,7 @@
 func (cluster *Cluster) createCloud() {
 	c := cluster.Config
 	cluster.fixture = newTaskFixture(cluster)
+	cluster.lateCommands.rng = rand.New(rand.NewPCG(c.Seed, 11))
 	cluster.fixture.SetFaultFreeSince(cluster.startedAt)
 	runtime := simulator.NewTaskRuntime(cluster.fixture, c.Workers.GangStartTimeout, c.Workers.GangPeerTimeout)
 	addrByController := map[string]string{}
@@ -35,7 +36,7 @@
 			}
 			local := endpoint{id, "machines", zone}
 			return simulator.NewWorker(simulator.WorkerConfig{ID: id, Addr: addr, Type: typ, Zone: zone, Spot: spot, Spec: c.machineType(typ), Net: host{cluster.links, local, cluster.endpointAt},
-				TakeDown: func() { cluster.freePort(addr) }, Controllers: addrByController, Runtime: runtime, Lease: c.Workers.Lease, HeartbeatInterval: c.Workers.HeartbeatInterval, SharedFetchRate: c.SharedFetchRate, Replayer: cluster.replayer})
+				TakeDown: func() { cluster.freePort(addr) }, Controllers: addrByController, Runtime: runtime, Lease: c.Workers.Lease, HeartbeatInterval: c.Workers.HeartbeatInterval, SharedFetchRate: c.SharedFetchRate, Replayer: cluster.replayer, CallDelay: cluster.lateCommands.delay})
 		}}
 }
 
--- a/internal/emulator/task_fixture.go
+++ b/internal/emulator/task_fixture.go
@@ -77,4 +77,11 @@
 		runTime = 10_000 * time.Hour
 	}
 	f.Submitted(j, runTime)
+	if f.cluster.users.drawMistaken(j.ID) {
+		f.SetMistaken(j.ID, mistakenRunTime)
+	}
 }
+
+// mistakenRunTime is how long a task of a job that was submitted with a mistake runs before it fails.
+const mistakenRunTime = 500 * time.Millisecond
+
--- a/internal/emulator/user_faults.go
+++ b/internal/emulator/user_faults.go
@@ -26,6 +26,8 @@
 	toCancel             []string
 	endedJobs            map[string]bool // jobs whose last task has completed
 	cancelAtEndShare     float64         // share of jobs that are cancelled at that time
+	mistakenShare        float64         // share of jobs whose tasks fail on every machine
+	mistaken             []string        // these jobs, which their users have not cancelled yet
 	rng                  *rand.Rand
 	malformedFaults      int           // number of active odd_requests faults
 	concurrentReadFaults int           // number of active close_looks faults
@@ -56,6 +58,32 @@
 	u.endedJobs[job] = true
 }
 
+// setMistakenShare sets the share of the jobs that are launched from now on whose tasks fail on every machine.
+func (u *userFaults) setMistakenShare(share float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.mistakenShare = share
+}
+
+// drawMistaken decides whether a job that is launched for the first time was submitted with a mistake.
+func (u *userFaults) drawMistaken(job string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.mistakenShare == 0 || u.rng.Float64() >= u.mistakenShare {
+		return false
+	}
+	u.mistaken = append(u.mistaken, job)
+	return true
+}
+
+// cancelMistaken has users cancel the jobs that were submitted with a mistake.
+func (u *userFaults) cancelMistaken() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.requestCancel(u.mistaken...)
+	u.mistaken = nil
+}
+
 // instructionsWait is how long a poll for instructions waits for cancellations.
 const instructionsWait = 100 * time.Millisecond
 
