Emulator: nothing is persisted after Stop has returned

Traced: the goroutine that persists the state writes once more when the cluster stops, and Stop did not wait for it; it could also put back an older state than the one that Stop writes.

TestNothingIsPersistedAfterStop failed before (state.cbor is written after the end); TestPersistedState is unchanged.

--- a/internal/emulator/cluster.go
+++ b/internal/emulator/cluster.go
@@ -50,6 +50,7 @@
 	replayer     *simulator.HeartbeatReplayer
 	users        userFaults
 	lateCommands lateCommands
+	persisting   sync.WaitGroup // the goroutine that persists the state
 
 	mu           sync.Mutex
 	activeFaults map[int]*StagedFault
@@ -199,6 +200,7 @@
 	if cluster.cloud != nil {
 		cluster.cloud.Stop()
 	}
+	cluster.persisting.Wait()
 	if cluster.opt.Persist {
 		cluster.persistState()
 	}
--- a/internal/emulator/cluster_test.go
+++ b/internal/emulator/cluster_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"amberdeal.example/amberdeal/internal/simulator"
 	"amberdeal.example/amberdeal/internal/transport"
 	"amberdeal.example/amberdeal/wire"
 )
@@ -117,6 +118,26 @@
 	}
 }
 
+// TestNothingIsPersistedAfterStop guards against a write of the state that is still under way when Stop returns: it may replace a
+// newer state, or fall into the removal of the directory.
+func TestNothingIsPersistedAfterStop(t *testing.T) {
+	for range 300 {
+		ctx, cancel := context.WithCancel(t.Context())
+		cluster := &Cluster{opt: Options{Dir: t.TempDir(), Persist: true}, state: simulator.NewStateService(1, 0), ctx: ctx, stop: cancel}
+		if err := cluster.restoreState(); err != nil {
+			t.Fatal(err)
+		}
+		cluster.Stop()
+		if err := os.Remove(cluster.stateFile()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+		if files, _ := os.ReadDir(cluster.opt.Dir); len(files) > 0 {
+			t.Fatalf("%v is written after the end", files)
+		}
+	}
+}
+
 // TestPersistedState checks that a cluster resumes from the persisted state of the state service and that writing it
 // leaves no temporary files.
 func TestPersistedState(t *testing.T) {
--- a/internal/emulator/persistence.go
+++ b/internal/emulator/persistence.go
@@ -32,12 +32,12 @@
 		cluster.state.Resume(snapshot)
 		cluster.log.Info("resuming from persisted state", "keys", len(snapshot.Items), "revision", snapshot.Revision)
 	}
-	go func() {
+	cluster.persisting.Go(func() {
 		for cluster.ctx.Err() == nil {
 			sleep(cluster.ctx, time.Second)
 			cluster.persistState()
 		}
-	}()
+	})
 	return nil
 }
 
