--- a/internal/emulator/task_fixture.go
+++ b/internal/emulator/task_fixture.go
@@ -84,4 +84,3 @@
 
 // mistakenRunTime is how long a task of a job that was submitted with a mistake runs before it fails.
 const mistakenRunTime = 500 * time.Millisecond
-
