--- a/internal/store/recovered.go
+++ b/internal/store/recovered.go
@@ -92,23 +92,23 @@
 }
 
 func (rec *RecoveredState) applyMachine(id, key string, raw wire.Raw) Entry {
-	delete(rec.Machines, id)
-	r, ok := decodeEntry[MachineRecord](raw)
-	if !ok {
-		return Entry{Key: key}
-	}
-	rec.Machines[id] = r
-	return Entry{key, raw, MachineEntryBytes(id, &r)}
+	return replaceRecord(rec.Machines, id, key, raw, func(_ string, r MachineRecord) Entry { return Entry{key, raw, MachineEntryBytes(id, &r)} })
 }
 
 func (rec *RecoveredState) applyScaleOut(name, key string, raw wire.Raw) Entry {
-	delete(rec.ScaleOuts, name)
-	r, ok := decodeEntry[ScaleOutRecord](raw)
+	return replaceRecord(rec.ScaleOuts, name, key, raw, ScaleOutEntry)
+}
+
+// replaceRecord replaces the record with a name by the one in an entry of the ledger, and returns the entry of the new
+// record. It removes the record if the entry deletes it.
+func replaceRecord[T any](records map[string]T, name, key string, raw wire.Raw, entryOf func(name string, r T) Entry) Entry {
+	delete(records, name)
+	r, ok := decodeEntry[T](raw)
 	if !ok {
 		return Entry{Key: key}
 	}
-	rec.ScaleOuts[name] = r
-	return ScaleOutEntry(name, r)
+	records[name] = r
+	return entryOf(name, r)
 }
 
 // applyZone applies the state of a zone. The ledgers of two shards of an earlier sharding may both
@@ -125,13 +125,7 @@
 }
 
 func (rec *RecoveredState) applyZoneRecovery(zone, key string, raw wire.Raw) Entry {
-	delete(rec.ZoneRecoveries, zone)
-	r, ok := decodeEntry[ZoneRecoveryRecord](raw)
-	if !ok {
-		return Entry{Key: key}
-	}
-	rec.ZoneRecoveries[zone] = r
-	return ZoneRecoveryEntry(zone, r)
+	return replaceRecord(rec.ZoneRecoveries, zone, key, raw, ZoneRecoveryEntry)
 }
 
 // applyProgress adds finished tasks of a job. Blocks of several segments are merged, because a
