--- a/internal/leader/cordon_test.go
+++ b/internal/leader/cordon_test.go
@@ -42,10 +42,7 @@
 // pass lets time pass, in which the machines send heartbeats and the leader decides rounds. It returns what was launched.
 func (test *cordonTest) pass(d time.Duration) (launched []string) {
 	for end := test.now.Add(d); ; test.now = test.now.Add(time.Second) {
-		test.heartbeats++
-		for i, machine := range test.machines {
-			test.step(fmt.Sprintf("report %s 1/%d term=2: wk-100/%d#1.%d running", machine, test.heartbeats, i, i+1))
-		}
+		test.sendHeartbeats(func(int) string { return "running" })
 		for _, line := range test.step("round") {
 			if strings.HasPrefix(line, "launch ") {
 				launched = append(launched, line)
@@ -57,6 +54,23 @@
 	}
 }
 
+// sendHeartbeats has each machine send a heartbeat that lists its replica as running, and all other tasks in a state that depends
+// on the index of the machine, such as "running" or "ended done".
+func (test *cordonTest) sendHeartbeats(stateOn func(machine int) string) {
+	test.heartbeats++
+	for i, id := range test.machines {
+		report := fmt.Sprintf("report %s 1/%d term=2: wk-100/%d#1.%d running", id, test.heartbeats, i, i+1)
+		if m := test.leader.fleet.Machine(id); m != nil {
+			for _, p := range m.Placements() {
+				if p.Task.Job != "wk-100" && p.State != fleet.Planned {
+					report += fmt.Sprintf(",%v%s %s", p.Task, formatAttempt(p.Attempt), stateOn(i))
+				}
+			}
+		}
+		test.step(report)
+	}
+}
+
 // cordoned lists the machines that get no work.
 func (test *cordonTest) cordoned() (machines []string) {
 	for _, m := range test.leader.fleet.Machines() {
@@ -89,6 +103,10 @@
 					for _, job := range mistaken {
 						test.step("cancel " + job)
 					}
+					test.pass(2 * time.Second)
+					if cordoned := test.cordoned(); len(cordoned) > 0 {
+						t.Errorf("%v are cordoned after the jobs that failed there were cancelled", cordoned)
+					}
 				}
 				test.step("job wk-3 sweep team=blue tasks=1")
 				if launched := test.pass(starvationBound); len(launched) == 0 {
@@ -99,24 +117,6 @@
 	}
 }
 
-// reportOutcomes has each machine report how its tasks have ended: with an error on the first machine, and as done elsewhere.
-func (test *cordonTest) reportOutcomes() {
-	test.heartbeats++
-	for i, machine := range test.machines {
-		report := fmt.Sprintf("report %s 1/%d term=2: wk-100/%d#1.%d running", machine, test.heartbeats, i, i+1)
-		for _, p := range test.leader.fleet.Machine(machine).Placements() {
-			outcome := "ended done"
-			if i == 0 {
-				outcome = "ended error"
-			}
-			if p.Task.Job != "wk-100" && p.State != fleet.Planned {
-				report += fmt.Sprintf(",%v%s %s", p.Task, formatAttempt(p.Attempt), outcome)
-			}
-		}
-		test.step(report)
-	}
-}
-
 // TestFaultyMachineGetsOneTaskAtATime guards against work that fails in large numbers on a faulty machine each time its cordon
 // lapses, because a replica keeps the machine from being released.
 func TestFaultyMachineGetsOneTaskAtATime(t *testing.T) {
@@ -136,7 +136,12 @@
 		}
 		test.step("direct executed")
 		test.now = test.now.Add(time.Second)
-		test.reportOutcomes()
+		test.sendHeartbeats(func(machine int) string {
+			if machine == 0 {
+				return "ended error"
+			}
+			return "ended done"
+		})
 	}
 	// Until the first cordon, two jobs may fill the machine; after that there is one trial in each cordonDuration.
 	const freeSlots = 3 // on a machine, beside its replica
@@ -181,6 +186,27 @@
 	expect("a job has failed after another was done")
 }
 
+// TestTrialAfterCordon guards against a machine that is filled at once when its cordon lapses, and against one that gets one task at
+// a time for good.
+func TestTrialAfterCordon(t *testing.T) {
+	test := newCordonTest(t, 1)
+	for _, job := range []string{"wk-1", "wk-2"} {
+		test.step("job " + job + " sweep team=blue tasks=1 gpus=4")
+		test.pass(0)
+		test.fail(job, "n-1")
+	}
+	test.step("job wk-4 service team=blue tasks=3")
+	if launched := test.pass(cordonDuration - time.Second); len(launched) > 0 {
+		t.Errorf("launched on a cordoned machine: %v", launched)
+	}
+	if launched := test.pass(trialDuration - 2*time.Second); len(launched) != 1 {
+		t.Errorf("launched on a machine on trial: %v, want one task", launched)
+	}
+	if launched := test.pass(4 * time.Second); len(launched) != 2 {
+		t.Errorf("launched after the trial: %v, want two tasks", launched)
+	}
+}
+
 // TestJobThatFailsEverywhereCordonsNothing guards against cordons of sound machines: a job that has failed on three
 // machines does not count against any of them, until one of its tasks is done.
 func TestJobThatFailsEverywhereCordonsNothing(t *testing.T) {
--- a/internal/leader/launch_bound_test.go
+++ b/internal/leader/launch_bound_test.go
@@ -74,6 +74,9 @@
 	if jobs, ok := driver.leader.UnfinishedJobs(); !ok || len(jobs) > 0 {
 		t.Errorf("%v count as unfinished, known %v", jobs, ok)
 	}
+	if tasks := machineRecord(driver.leader.fleet.Machine("n-1")).Tasks; len(tasks) > 0 {
+		t.Errorf("the machine's record names %v, which has ended", tasks)
+	}
 	if p := driver.leader.fleet.Machine("n-1").Placements()[0]; p.State != fleet.Ended || !p.CallPending() {
 		t.Errorf("the task is %v, its call pending: %v", p.State, p.CallPending())
 	}
